--- /dev/null
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -0,0 +1,177 @@
+package io.otterknot.api
+
+import io.otterknot.config.TeamFacts
+import io.otterknot.http.HttpResponse
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartChooser
+import io.otterknot.placement.PartView
+import io.otterknot.state.Final
+import io.otterknot.state.Job
+import io.otterknot.state.JobRecord
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.TxnOutcome
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.JobStatus
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Malformed
+import io.otterknot.wire.WireJson
+import io.otterknot.wire.isJobId
+import io.otterknot.wire.parseSubmission
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** What users ask: submit, poll, withdraw. */
+class UserApi(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val jobs: JobTable,
+    private val parts: Map<String, Part>,
+    private val views: () -> List<PartView>,
+    private val types: () -> List<MachineType>?,
+    private val teams: List<TeamFacts>,
+    private val maxValueBytes: Int,
+    private val maxChanges: Int,
+    private val wallMs: () -> Long,
+    private val random: Random,
+) {
+    private val log = LoggerFactory.getLogger(UserApi::class.java)
+
+    fun ready(): HttpResponse =
+        if (replica.loaded && types() != null) HttpResponse(200, "{}".encodeToByteArray()) else later("starting")
+
+    suspend fun submit(body: ByteArray): HttpResponse {
+        val id = peekId(body)
+        if (id != null) jobs[id]?.let { return current(id, 200) }
+        if (!replica.loaded) return later("the jobs have not been read yet")
+        val spec = try {
+            parseSubmission(body)
+        } catch (e: Malformed) {
+            return refuse(id, 400, e.message.orEmpty())
+        }
+        val offered = types() ?: return later("the machine types are not known yet")
+        impossible(spec, offered)?.let { return refuse(id, 422, it) }
+        val record = JobRecord(
+            spec = spec,
+            spans = PartChooser.deal(spec, views(), random),
+            submittedMs = wallMs(),
+            nonce = random.nextLong().toULong().toString(36),
+        )
+        val value = encodeRecord(JobRecord.serializer(), record)
+        if (value.toString().length > maxValueBytes) return refuse(id, 400, "the description is too long")
+        if (!client.budget.tryTake(1, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
+        val key = Keys.job(spec.id)
+        return when (val outcome = client.txn(listOf(Guard(key, 0)), listOf(Change(put = key, value = value)))) {
+            is TxnOutcome.Applied -> accepted(spec.id)
+            is TxnOutcome.Conflict ->
+                if (replica.reach(outcome.revision, REACH_MS)) current(spec.id, 200) else later("the job is known; its state is being read")
+            is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
+            is TxnOutcome.Unknown -> {
+                // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
+                if (replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce) accepted(spec.id) else later("the state service did not answer")
+            }
+        }
+    }
+
+    suspend fun poll(id: String): HttpResponse {
+        jobs[id]?.final?.let { return tell(jobs[id]!!, 200) }
+        if (!isJobId(id)) return unknown(id)
+        return current(id, 200)
+    }
+
+    suspend fun withdraw(id: String): HttpResponse {
+        if (!isJobId(id)) return unknown(id)
+        repeat(TRIES) {
+            jobs[id]?.let { if (it.final != null) return tell(it, 200) }
+            // What is cancelled must be the job as it is: an older version would only be refused.
+            if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later("the state service is away")
+            val job = jobs[id] ?: return unknown(id)
+            if (job.final != null) return tell(job, 200)
+            if (!client.budget.tryTake(1, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
+            val key = Keys.job(id)
+            val record = JobRecord(final = Final.CANCELLED, tasks = job.spec?.tasks ?: 0)
+            val changes = listOf(Change(put = key, value = encodeRecord(JobRecord.serializer(), record))) +
+                job.doneKeys.take(maxChanges - 1).map { Change(remove = it) }
+            when (val outcome = client.txn(listOf(Guard(key, job.version)), changes)) {
+                is TxnOutcome.Applied -> {
+                    replica.reach(outcome.revision, REACH_MS)
+                    log.info("{} is cancelled", id)
+                    return status(JobStatus(id, "aborted"), 200)
+                }
+                is TxnOutcome.Conflict -> if (!replica.reach(outcome.revision, REACH_MS)) return later("the state service is slow")
+                is TxnOutcome.Refused -> return later("the state service does not take changes at the moment")
+                is TxnOutcome.Unknown -> if (!replica.upToDate(REACH_MS)) return later("the state service did not answer")
+            }
+        }
+        return later("the job is changing")
+    }
+
+    /** The state of a job as of now: a final one from memory, any other only once the replica is surely up to date. */
+    private suspend fun current(id: String, code: Int): HttpResponse {
+        jobs[id]?.let { if (it.final != null) return tell(it, code) }
+        if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+        val job = jobs[id] ?: return unknown(id)
+        return tell(job, code)
+    }
+
+    private fun tell(job: Job, code: Int): HttpResponse = when (job.final) {
+        Final.DONE -> status(JobStatus(job.id, "done", job.record?.tasks, 0), code)
+        Final.CANCELLED -> status(JobStatus(job.id, "aborted"), code)
+        null -> {
+            val done = job.done.cardinality()
+            val running = parts.values.sumOf { it.runningTasks(job.id) }
+            status(JobStatus(job.id, if (running > 0 || done > 0) "running" else "queued", done, running), code)
+        }
+    }
+
+    /** A refusal that is final, given only if no node has accepted a job of this id. */
+    private suspend fun refuse(id: String?, code: Int, why: String): HttpResponse {
+        if (id != null && isJobId(id)) {
+            if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+            jobs[id]?.let { return tell(it, 200) }
+        }
+        return HttpResponse.refusal(code, why)
+    }
+
+    private fun impossible(spec: JobSpec, offered: List<MachineType>): String? {
+        val team = teams.firstOrNull { it.name == spec.team } ?: return "unknown team ${spec.team}"
+        if (team.cpusMax > 0 && spec.cores > team.cpusMax || team.gpusMax > 0 && spec.cards > team.gpusMax) {
+            return "one task needs more than the limit of team ${spec.team}"
+        }
+        val fits = offered.any {
+            (spec.types == null || it.name in spec.types) && (spec.zone == null || spec.zone in it.zones) &&
+                spec.cores <= it.cores && spec.memoryGb <= it.memoryGb && spec.cards <= it.cards
+        }
+        return if (fits) null else "a task fits no allowed machine type"
+    }
+
+    private fun peekId(body: ByteArray): String? = try {
+        val fields = WireJson.parseToJsonElement(body.decodeToString()) as? JsonObject
+        (fields?.get("Uid") as? JsonPrimitive)?.takeIf { it.isString }?.content
+    } catch (e: SerializationException) {
+        null
+    }
+
+    private fun accepted(id: String) = status(JobStatus(id, "queued"), 201)
+
+    private fun status(status: JobStatus, code: Int) = HttpResponse.json(code, JobStatus.serializer(), status)
+
+    private fun unknown(id: String) = HttpResponse.refusal(404, "no job $id")
+
+    private fun later(why: String) = HttpResponse.refusal(503, why, retryAfterS = 1)
+
+    private companion object {
+        const val SUBMIT_WAIT_MS = 1_000L
+        const val REACH_MS = 1_200L
+        const val BARRIER_MS = 1_500L
+        const val TRIES = 4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -0,0 +1,196 @@
+package io.otterknot.cli
+
+import io.ktor.network.selector.SelectorManager
+import io.otterknot.api.UserApi
+import io.otterknot.cloud.CloudClient
+import io.otterknot.config.HostPort
+import io.otterknot.config.Settings
+import io.otterknot.fleet.Fleet
+import io.otterknot.fleet.FleetPolicy
+import io.otterknot.http.HttpClient
+import io.otterknot.http.HttpRequest
+import io.otterknot.http.HttpResponse
+import io.otterknot.http.HttpServer
+import io.otterknot.ownership.Ownership
+import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartTimes
+import io.otterknot.placement.PartView
+import io.otterknot.placement.TeamShare
+import io.otterknot.state.Entry
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
+import io.otterknot.state.MeanRecord
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.Writer
+import io.otterknot.state.decodeRecord
+import io.otterknot.wire.MAX_BODY_BYTES
+import io.otterknot.workers.ReportDoor
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** One controller: everything it keeps, and the coroutines that keep it going, all on one thread. */
+class Controller(
+    private val settings: Settings,
+    private val selector: SelectorManager,
+    private val random: Random,
+    private val nowMs: () -> Long,
+    private val wallMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger(Controller::class.java)
+    private val facts = settings.facts
+    private val nodes = maxOf(facts.nodes, settings.members.size + 1)
+    private val zones = facts.zones
+    private val stateAddress = HostPort.parse("endpoints.state", settings.endpoints.state)
+
+    private val budget = RateBudget(SHARE * facts.state.rps / nodes, SHARE * facts.state.writeRps / nodes, nowMs)
+    private val state = StateClient(HttpClient(selector, stateAddress, keep = 4), HttpClient(selector, stateAddress, keep = 1), budget)
+
+    // A tenth of this node's requests goes to reopened watches at most every so often.
+    private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(50, 250))
+    private val jobs = JobTable()
+    private val parts = LinkedHashMap<String, Part>()
+    private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
+    private val ownership = Ownership(
+        settings.label, zones, domains, state, replica,
+        leaseTtlMs(facts.workers.leaseS, facts.workers.cancelS), nowMs, random,
+        onClaim = { zone, token -> claimed += zone to token },
+        onLoss = { parts.remove(it) },
+    )
+    private val claimed = ArrayList<Pair<String, Long>>()
+    private val cloud = CloudClient(
+        HttpClient(selector, HostPort.parse("endpoints.cloud", settings.endpoints.cloud), keep = 2),
+        RateBudget(SHARE * facts.cloud.rps / nodes, 1.0, nowMs),
+    )
+    private val leaseMs = (facts.workers.leaseS * 1000).toLong()
+    private val fleet = Fleet(
+        cloud, ownership, parts,
+        FleetPolicy(thrifty = facts.objectives.any { it.kind == "price" }, maxMachines = MAX_MACHINES_PER_PART),
+        leaseMs, nowMs, random,
+    )
+    private val views = zones.associateWith { PartView(it) }
+    private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.txnOps, MAX_BATCH))
+    private val keeper = Keeper(state, replica, jobs, parts, ownership, writer, budget, facts.state.txnOps, nowMs)
+    private val users = UserApi(
+        state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
+        (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
+    )
+    private val door = ReportDoor(settings.label, ownership, parts, nowMs)
+    private val server = HttpServer(selector, maxOf(32, facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, ::route)
+
+    /** Runs until cancelled. */
+    suspend fun run() = coroutineScope {
+        replica.onChange = ::changed
+        replica.onBatch = ::takeUpClaims
+        val bind = HostPort.parse("bind", settings.bind)
+        val listening = server.bind(bind.host, bind.port)
+        log.info("{} in {} listens on {}", settings.label, settings.domain, settings.bind)
+        duty("server") { server.serve(this, listening) }
+        duty("replica") { replica.follow() }
+        duty("barrier") { replica.serveBarrier() }
+        duty("lease") { ownership.keepLease() }
+        duty("claims") { ownership.claimParts() }
+        duty("types") { fleet.learnTypes() }
+        duty("fleet") { fleet.manage() }
+        duty("inspection") { fleet.inspect() }
+        duty("records") { keeper.keep() }
+        duty("sweep") {
+            while (true) {
+                delay(SWEEP_MS)
+                takeUpClaims()
+                parts.values.forEach { it.sweep(nowMs()) }
+            }
+        }
+    }
+
+    /** A long-lived duty is started again should it fail: nobody else would do its work. */
+    private fun CoroutineScope.duty(name: String, work: suspend CoroutineScope.() -> Unit) = launch {
+        while (true) {
+            try {
+                coroutineScope { work() }
+            } catch (e: kotlinx.coroutines.CancellationException) {
+                throw e
+            } catch (e: Exception) {
+                log.error("{} failed and is started again", name, e)
+            }
+            delay(DUTY_PAUSE_MS)
+        }
+    }
+
+    private suspend fun route(request: HttpRequest): HttpResponse {
+        val path = request.path
+        return when {
+            path == "/v1/report" -> method(request, "POST") { door.handle(request.body) }
+            path == "/ready" -> method(request, "GET") { users.ready() }
+            path == "/submissions" -> method(request, "POST") { users.submit(request.body) }
+            path.startsWith(JOB_PATH) && path.endsWith(WITHDRAW) && path.length > JOB_PATH.length + WITHDRAW.length ->
+                method(request, "POST") { users.withdraw(path.substring(JOB_PATH.length, path.length - WITHDRAW.length)) }
+            path.startsWith(JOB_PATH) && path.indexOf('/', JOB_PATH.length) < 0 ->
+                method(request, "GET") { users.poll(path.substring(JOB_PATH.length)) }
+            else -> HttpResponse.refusal(404, "no such path")
+        }
+    }
+
+    private suspend fun method(request: HttpRequest, allowed: String, serve: suspend () -> HttpResponse): HttpResponse =
+        if (request.method == allowed) serve() else HttpResponse.refusal(405, "only $allowed", allow = allowed)
+
+    private fun changed(key: String, entry: Entry?) {
+        when {
+            key.startsWith(Keys.JOBS) || key.startsWith(Keys.DONE) -> {
+                val job = jobs.change(key, entry) ?: return
+                if (key.startsWith(Keys.JOBS)) {
+                    parts.values.forEach { it.updateJob(job, inherited = false) }
+                } else {
+                    parts.values.forEach { it.updateDone(job) }
+                }
+            }
+            key.startsWith(Keys.MACHINES) -> {
+                val (zone, machine) = key.substring(Keys.MACHINES.length).split('/', limit = 2)
+                parts[zone]?.registeredNow(machine, entry != null)
+            }
+            key.startsWith(Keys.MEANS) -> {
+                val view = views[key.substring(Keys.MEANS.length)] ?: return
+                val mean = if (entry == null) MeanRecord(0.0) else decodeRecord(MeanRecord.serializer(), entry.value)
+                view.mean = mean.mean
+                view.cores = mean.cores
+            }
+        }
+    }
+
+    /** A claimed part is taken up once the replica holds everything that was written before the claim. */
+    private fun takeUpClaims() {
+        if (fleet.types == null) return
+        val due = claimed.filter { replica.revision >= it.second }
+        claimed.removeAll(due)
+        for ((zone, token) in due) {
+            if (ownership.claimed(zone) != token) continue
+            val registered = replica.under(Keys.MACHINES + zone + "/").map { it.first.substringAfterLast('/') }
+            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, fleet::type, teamShares(), registered)
+            jobs.live.values.forEach { part.updateJob(it, inherited = true) }
+            parts[zone] = part
+            log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
+        }
+    }
+
+    /** Each part may use an equal share of a team's limit, so that together they never pass it. */
+    private fun teamShares() = facts.teams.map { team ->
+        fun limit(max: Double) = if (max > 0) max / zones.size else Double.MAX_VALUE
+        TeamShare(team.name, if (team.cpus > 0) team.cpus else 1.0, limit(team.cpusMax), limit(team.gpusMax))
+    }
+
+    private companion object {
+        const val JOB_PATH = "/submissions/"
+        const val WITHDRAW = "/withdraw"
+        const val SHARE = 0.92
+        const val MAX_BATCH = 16
+        const val MAX_MACHINES_PER_PART = 48
+        const val SWEEP_MS = 500L
+        const val DUTY_PAUSE_MS = 500L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -0,0 +1,90 @@
+package io.otterknot.cli
+
+import io.ktor.network.selector.SelectorManager
+import io.otterknot.config.BadSettings
+import io.otterknot.config.Settings
+import io.otterknot.config.SettingsFile
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import org.slf4j.LoggerFactory
+import picocli.CommandLine
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Model.OptionSpec
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+const val VERSION = "0.1.0"
+
+fun main(args: Array<String>) {
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
+    exitProcess(run(args))
+}
+
+/** The command line, built without annotations: reading those by reflection costs start-up time. */
+internal fun run(args: Array<String>): Int {
+    val root = CommandSpec.create().name("otterknot").version("otterknot $VERSION")
+    root.usageMessage().description("A cluster scheduler for small sites. Without a command it runs one controller.")
+    root.mixinStandardHelpOptions(true)
+    root.addOption(configOption())
+    val check = CommandSpec.create().name("check")
+    check.usageMessage().description("Checks a settings file and says what is wrong with it.")
+    check.mixinStandardHelpOptions(true)
+    check.addOption(configOption())
+    root.addSubcommand("check", check)
+    val rehearse = CommandSpec.create().name("rehearse")
+    rehearse.usageMessage().description("Loads what a controller uses and ends; the build makes its class-data archive from it.").hidden(true)
+    root.addSubcommand("rehearse", rehearse)
+    val command = CommandLine(root)
+    command.executionStrategy = CommandLine.IExecutionStrategy { parsed ->
+        CommandLine.executeHelpRequest(parsed) ?: execute(parsed)
+    }
+    return command.execute(*args)
+}
+
+private fun configOption() = OptionSpec.builder("-c", "--config").paramLabel("FILE").type(Path::class.java)
+    .description("the settings file (TOML)").build()
+
+private fun execute(parsed: CommandLine.ParseResult): Int {
+    val leaf = generateSequence(parsed) { it.subcommand() }.last()
+    if (leaf.commandSpec().name() == "rehearse") return Rehearsal.run()
+    val path = leaf.matchedOptionValue<Path>("--config", null)
+    if (path == null) {
+        System.err.println("otterknot: --config FILE is missing")
+        return CommandLine.ExitCode.USAGE
+    }
+    val settings = try {
+        SettingsFile.read(path)
+    } catch (e: BadSettings) {
+        System.err.println("otterknot: bad settings: ${e.message}")
+        return CommandLine.ExitCode.USAGE
+    }
+    if (leaf.commandSpec().name() == "check") {
+        println("${settings.label}: the settings are good")
+        return CommandLine.ExitCode.OK
+    }
+    return serve(settings)
+}
+
+internal fun serve(settings: Settings, randomSeed: Long = System.nanoTime() xor settings.label.hashCode().toLong()): Int {
+    // All decisions are taken on one thread; the selector blocks on its own.
+    val loop = Executors.newSingleThreadExecutor { Thread(it, "otterknot") }.asCoroutineDispatcher()
+    val selector = SelectorManager(Dispatchers.IO)
+    try {
+        runBlocking(loop) {
+            Controller(settings, selector, Random(randomSeed), { System.nanoTime() / 1_000_000 }, System::currentTimeMillis).run()
+        }
+    } catch (e: java.io.IOException) {
+        LoggerFactory.getLogger("otterknot").error("cannot run: {}", e.toString())
+        return CommandLine.ExitCode.SOFTWARE
+    } finally {
+        selector.close()
+        loop.close()
+    }
+    return CommandLine.ExitCode.OK
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -0,0 +1,227 @@
+package io.otterknot.fleet
+
+import io.otterknot.cloud.CloudClient
+import io.otterknot.cloud.RentOutcome
+import io.otterknot.ownership.Ownership
+import io.otterknot.placement.Part
+import io.otterknot.wire.ListedMachine
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.RentRequest
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/** Rents machines for the parts this node owns, and gives back what is idle, broken or never came up. */
+class Fleet(
+    private val cloud: CloudClient,
+    private val ownership: Ownership,
+    private val parts: Map<String, Part>,
+    private val policy: FleetPolicy,
+    private val leaseMs: Long,
+    private val nowMs: () -> Long,
+    private val random: Random,
+) {
+    private val log = LoggerFactory.getLogger(Fleet::class.java)
+
+    private class Coming(val zone: String, val kind: Kind, val cores: Double, val sinceMs: Long)
+
+    /** A request that got no answer: it is repeated, under the same name, until it has one. */
+    private class Open(val request: RentRequest)
+
+    private val coming = HashMap<String, Coming>()
+    private val closedUntil = HashMap<Pair<String, Kind>, Long>()
+    private val open = ArrayList<Open>()
+    private val demandPeaks = HashMap<String, DemandPeak>()
+    private val gone = HashSet<String>()
+    private var counter = 0L
+
+    var types: List<MachineType>? = null
+        private set
+    private val typesByName = HashMap<String, MachineType>()
+
+    fun type(name: String): MachineType? = typesByName[name]
+
+    /** Cores rented for [zone] that do not report yet. */
+    fun comingCores(zone: String): Double = coming.values.filter { it.zone == zone }.sumOf { it.cores }
+
+    suspend fun learnTypes() {
+        while (true) {
+            val offered = cloud.types()
+            if (offered != null) {
+                types = offered
+                offered.forEach { typesByName[it.name] = it }
+            }
+            delay(if (types == null) 700 + random.nextLong(600) else TYPES_EVERY_MS)
+        }
+    }
+
+    suspend fun manage() {
+        while (true) {
+            delay(TICK_MS + random.nextLong(200))
+            val offered = types ?: continue
+            settleOpen()
+            for (zone in parts.keys.toList()) {
+                val part = parts[zone] ?: continue
+                if (ownership.token(zone) != part.token) continue
+                part.machines.forEach { if (it.reconciled) coming.remove(it.id) }
+                returnIdle(part)
+                if (open.none { it.request.zone == zone }) rent(part, offered)
+            }
+        }
+    }
+
+    private suspend fun settleOpen() {
+        for (entry in open.toList()) {
+            if (ownership.claimed(entry.request.zone) == null) {
+                // The next owner finds what it may have rented in the list or by its reports.
+                open.remove(entry)
+                continue
+            }
+            handle(entry.request)
+        }
+    }
+
+    private suspend fun rent(part: Part, offered: List<MachineType>) {
+        val zone = part.zone
+        val view = view(part)
+        val now = nowMs()
+        val rents = policy.rent(view, offered, zone) { (closedUntil[zone to it] ?: 0L) > now }
+        for (rent in rents) {
+            // The token makes the name new for every owner, the counter for every request of one owner.
+            val name = "$zone-${part.token}-${++counter}"
+            handle(RentRequest(name, rent.kind.type, zone, rent.kind.spot, rent.count.coerceIn(1, 50)))
+        }
+    }
+
+    private suspend fun handle(request: RentRequest) {
+        val kind = Kind(request.type, request.spot)
+        when (val outcome = cloud.rent(request)) {
+            is RentOutcome.Rented -> {
+                open.removeAll { it.request.request == request.request }
+                val cores = type(request.type)?.cores ?: 0.0
+                outcome.machines.forEach { coming[it] = Coming(request.zone, kind, cores, nowMs()) }
+                log.info("{}: rented {} of {} {}{}", request.zone, outcome.machines.size, request.count, request.type, if (request.spot) " (spot)" else "")
+                if (outcome.machines.size < request.count) close(request.zone, kind)
+            }
+            RentOutcome.NoCapacity -> {
+                open.removeAll { it.request.request == request.request }
+                close(request.zone, kind)
+            }
+            RentOutcome.Refused -> open.removeAll { it.request.request == request.request }
+            RentOutcome.Unknown -> if (open.none { it.request.request == request.request }) open.add(Open(request))
+        }
+    }
+
+    private fun close(zone: String, kind: Kind) {
+        closedUntil[zone to kind] = nowMs() + CLOSED_MS + random.nextLong(CLOSED_MS)
+    }
+
+    private fun view(part: Part): FleetView {
+        val own = part.machines.filter { !it.silent && !it.draining }
+        val expected = coming.values.filter { it.zone == part.zone }
+        val ordinary = part.waitingCores(false) + part.activeCores(false)
+        val total = part.waitingCores(null) + part.activeCores(null)
+        val peak = demandPeaks.getOrPut(part.zone) { DemandPeak() }
+        val now = nowMs()
+        return FleetView(
+            ordinaryDemand = peak.ordinary.note(now, ordinary),
+            totalDemand = peak.total.note(now, total),
+            ordinarySupply = own.filter { !it.spot }.sumOf { it.type.cores } + expected.filter { !it.kind.spot }.sumOf { it.cores },
+            totalSupply = own.sumOf { it.type.cores } + expected.sumOf { it.cores },
+            machines = own.size + expected.size,
+        )
+    }
+
+    private suspend fun returnIdle(part: Part) {
+        val now = nowMs()
+        val out = part.machines.filter { machine ->
+            if (machine.attempts.isNotEmpty() || machine.silent) return@filter false
+            machine.draining && !machine.noticed ||
+                machine.usable && policy.mayReturn(view(part), machine.spot, machine.type.cores, now - machine.idleSinceMs)
+        }.take(1)
+        if (out.isEmpty()) return
+        out.forEach { it.draining = true }
+        release(out.map { it.id }, "idle or faulty")
+    }
+
+    private suspend fun release(ids: List<String>, why: String) {
+        if (ids.isEmpty()) return
+        log.info("returning {}: {}", ids, why)
+        if (!cloud.release(ids.take(100))) return
+        for (id in ids.take(100)) {
+            coming.remove(id)
+            gone.add(id)
+            parts.values.forEach { it.released(id) }
+        }
+    }
+
+    /** Compares the lagging list with what reports, to find machines that will never be of use. */
+    suspend fun inspect() {
+        while (true) {
+            delay(INSPECT_MS + random.nextLong(1_000))
+            if (parts.isEmpty()) continue
+            val listed = cloud.machines() ?: continue
+            val now = nowMs()
+            val useless = ArrayList<String>()
+            for (machine in listed) {
+                val part = parts[machine.zone] ?: continue
+                if (machine.id in gone || ownership.token(machine.zone) != part.token) continue
+                if (isUseless(machine, part, now)) useless.add(machine.id)
+            }
+            val ids = listed.mapTo(HashSet()) { it.id }
+            coming.entries.removeIf { it.key !in ids && now - it.value.sinceMs > VANISHED_MS }
+            // A machine that neither reports nor is listed has been taken.
+            for (part in parts.values) {
+                part.machines.filter { it.silent && it.id !in ids && now - it.answeredMs > VANISHED_MS }.forEach { part.released(it.id) }
+            }
+            release(useless, "failed, silent or never up")
+        }
+    }
+
+    private val firstSilent = HashMap<String, Long>()
+
+    private fun isUseless(machine: ListedMachine, part: Part, now: Long): Boolean {
+        if (machine.state == "failed") return true
+        val known = part.machine(machine.id)
+        if (known != null && !known.silent) {
+            firstSilent.remove(machine.id)
+            return false
+        }
+        val boot = type(machine.type)?.bootS ?: 60.0
+        val since = firstSilent.getOrPut(machine.id) { now }
+        return if (machine.state == "booting") {
+            machine.ageS > maxOf(boot * SLOW_BOOT, MIN_BOOT_S)
+        } else {
+            now - since > leaseMs + SILENT_MS
+        }
+    }
+
+    /** The highest demand of the last while, so that a short lull does not give machines back. */
+    private class DemandPeak {
+        val ordinary = Peak()
+        val total = Peak()
+    }
+
+    class Peak {
+        private val values = ArrayDeque<Pair<Long, Double>>()
+
+        fun note(now: Long, value: Double): Double {
+            while (values.isNotEmpty() && values.last().second <= value) values.removeLast()
+            values.addLast(now to value)
+            while (now - values.first().first > PEAK_MS) values.removeFirst()
+            return values.first().second
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 800L
+        const val TYPES_EVERY_MS = 60_000L
+        const val INSPECT_MS = 5_000L
+        const val CLOSED_MS = 6_000L
+        const val VANISHED_MS = 30_000L
+        const val SILENT_MS = 4_000L
+        const val SLOW_BOOT = 5.0
+        const val MIN_BOOT_S = 60.0
+        const val PEAK_MS = 15_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -0,0 +1,73 @@
+package io.otterknot.placement
+
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.MachineType
+import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
+
+enum class Phase { BOOKED, SENT, FETCHING, RUNNING, SAVING, EXITED }
+
+/** One try at a task on one machine. */
+class Attempt(val job: PartJob, val task: Int, val id: Long, val machine: Machine, var phase: Phase, var since: Long) {
+    var halting = false
+    var haltSent = false
+    val name: String get() = "${job.id}/$task"
+    val holds: Boolean get() = phase != Phase.EXITED
+}
+
+/** A machine in this part and the ledger of what is booked on it: reported, or sent and not yet reported. */
+class Machine(val index: Int, val id: String, val type: MachineType, val spot: Boolean) : Place() {
+    var session = 0L
+    var seq = -1L
+
+    /** Its last report showed this part's token, so no older owner's command can reach it any more. */
+    var reconciled = false
+    var registered = false
+    var draining = false
+    var noticed = false
+
+    /** When the last report that got an answer came in: the machine's lease is counted from no later than this. */
+    var answeredMs = 0L
+    var firstSeenMs = 0L
+    var idleSinceMs = 0L
+    var silent = false
+    val attempts = Long2ObjectLinkedOpenHashMap<Attempt>()
+    val images = LinkedHashSet<String>()
+    val failedJobs = HashSet<String>()
+
+    var usedCores = 0.0
+    var usedCards = 0.0
+    var usedMemory = 0.0
+
+    val usable: Boolean get() = reconciled && registered && !draining && !silent
+
+    fun roomFor(spec: JobSpec): Boolean =
+        usedCores + spec.cores <= type.cores + EPS &&
+            usedMemory + spec.memoryGb <= type.memoryGb + EPS &&
+            usedCards + spec.cards <= type.cards + EPS
+
+    fun allowed(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type.name in spec.types)
+
+    fun book(spec: JobSpec) {
+        usedCores += spec.cores
+        usedCards += spec.cards
+        usedMemory += spec.memoryGb
+    }
+
+    fun unbook(spec: JobSpec) {
+        usedCores -= spec.cores
+        usedCards -= spec.cards
+        usedMemory -= spec.memoryGb
+    }
+
+    /** The booked share of the scarcest resource. */
+    fun bookedShare(): Double = maxOf(ratio(usedCores, type.cores), ratio(usedMemory, type.memoryGb), ratio(usedCards, type.cards))
+
+    fun share(spec: JobSpec): Double =
+        maxOf(ratio(spec.cores, type.cores), ratio(spec.memoryGb, type.memoryGb), ratio(spec.cards, type.cards))
+
+    private fun ratio(part: Double, whole: Double) = if (whole > 0) part / whole else 0.0
+
+    companion object {
+        const val EPS = 1e-6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -0,0 +1,514 @@
+package io.otterknot.placement
+
+import io.otterknot.state.Job
+import io.otterknot.wire.Command
+import io.otterknot.wire.ExitCause
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
+import io.otterknot.wire.Report
+import io.otterknot.wire.TaskName
+import io.otterknot.wire.TaskReport
+import io.otterknot.wire.TaskState
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+import kotlin.random.Random
+
+/** What to answer a worker's report with. */
+sealed interface ReportDecision {
+    data class Answer(val token: Long, val commands: List<Command>) : ReportDecision
+
+    /** The worker has seen a higher token: this owner is no longer entitled to its part. */
+    data object Superseded : ReportDecision
+
+    /** An older report than one seen already. */
+    data object Stale : ReportDecision
+}
+
+/** What a part needs to know of a team: what it may use here, and its share of a contended part. */
+class TeamShare(val name: String, val weight: Double, val cores: Double, val cards: Double)
+
+class PartTimes(val leaseMs: Long, val marginMs: Long = 700) {
+    /** A machine's lease, on any clock that keeps to the protocol's drift, has ended after this long. */
+    val surelyOverMs: Long get() = leaseMs + leaseMs / 500 + marginMs
+}
+
+/**
+ * The machines of one zone and the tasks that belong to them, as their one owner decides on them. It does no I/O and
+ * reads no clock: reports and times come in, commands go out.
+ *
+ * Safety rests on three things here. A command goes out only in the answer to a report, a worker has one report in
+ * flight and drops late answers, so its next report says what came of the commands. A machine counts as known only
+ * once a report shows [token]. And a task that an earlier owner may have started is [PartJob.doubtful] until every
+ * machine that could hold it is known, gone, or past its lease.
+ */
+class Part(
+    val zone: String,
+    val token: Long,
+    private val claimedMs: Long,
+    private val times: PartTimes,
+    private val random: Random,
+    private val typeOf: (String) -> MachineType?,
+    teams: List<TeamShare>,
+    registeredMachines: Collection<String>,
+) {
+    private val log = LoggerFactory.getLogger(Part::class.java)
+    private val machineIndex = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
+    private val machineList = ArrayList<Machine?>()
+    private val jobIndex = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
+    private val jobList = ArrayList<PartJob?>()
+    private val teams: List<TeamShare> = teams
+    private val teamIndex = Object2IntOpenHashMap<String>().apply {
+        defaultReturnValue(-1)
+        teams.forEachIndexed { index, team -> put(team.name, index) }
+    }
+    private val teamCores = DoubleArray(teams.size)
+    private val teamCards = DoubleArray(teams.size)
+    private var attempts = 0L
+
+    /** Machines that an earlier owner had registered and that have not shown [token] yet. */
+    private val suspects = HashSet(registeredMachines)
+    private val registered = HashSet(registeredMachines)
+    var settled = false
+        private set
+
+    val machines: List<Machine> get() = machineList.filterNotNull()
+    val jobs: List<PartJob> get() = jobList.filterNotNull()
+
+    fun machine(id: String): Machine? = machineIndex.getInt(id).let { if (it < 0) null else machineList[it] }
+
+    fun job(id: String): PartJob? = jobIndex.getInt(id).let { if (it < 0) null else jobList[it] }
+
+    // ---- jobs -------------------------------------------------------------------------------------------------
+
+    /** Takes what the replica now says of [job]. [inherited]: this part was claimed after it was written. */
+    fun updateJob(job: Job, inherited: Boolean) {
+        val record = job.record ?: return
+        val spec = record.spec
+        if (spec == null || record.final != null) {
+            job(job.id)?.let(::drop)
+            return
+        }
+        val spans = record.spans.filter { it.zone == zone }
+        var held = job(job.id)
+        if (held == null) {
+            if (spans.isEmpty()) return
+            held = PartJob(jobList.size, job, spec, record.submittedMs)
+            jobIndex.put(job.id, held.index)
+            jobList.add(held)
+        }
+        val mine = BitSet()
+        spans.forEach { mine.set(it.from, it.until) }
+        val came = (mine.clone() as BitSet).apply { andNot(held.mine); andNot(job.done) }
+        val left = (held.mine.clone() as BitSet).apply { andNot(mine) }
+        held.mine.clear()
+        held.mine.or(mine)
+        if (inherited && !settled) held.doubtful.or(came) else held.pending.or(came)
+        held.pending.andNot(left)
+        held.doubtful.andNot(left)
+        held.leaving.andNot(left)
+    }
+
+    /** Completions became durable. */
+    fun updateDone(job: Job) {
+        val held = job(job.id) ?: return
+        held.fresh.andNot(job.done)
+        held.pending.andNot(job.done)
+        held.doubtful.andNot(job.done)
+    }
+
+    private fun drop(held: PartJob) {
+        held.over = true
+        held.pending.clear()
+        held.doubtful.clear()
+        jobIndex.removeInt(held.id)
+        jobList[held.index] = null
+        for (attempt in held.active.values.toList()) {
+            // What was only booked has never been sent, so it is free at once; the rest is told to stop.
+            if (attempt.phase == Phase.BOOKED) release(attempt) else attempt.halting = true
+        }
+    }
+
+    // ---- machines ---------------------------------------------------------------------------------------------
+
+    fun registeredNow(id: String, present: Boolean) {
+        if (present) registered.add(id) else registered.remove(id)
+        machine(id)?.registered = present
+    }
+
+    fun registeredIds(): Set<String> = registered
+
+    /** Machines that report here and must be registered before they may get a task. */
+    fun unregistered(): List<Machine> = machines.filter { it.reconciled && !it.registered && !it.silent }
+
+    /** The cloud says that the machine and everything on it is gone. */
+    fun released(id: String) {
+        suspects.remove(id)
+        val machine = machine(id) ?: return
+        forgetAll(machine)
+        machineIndex.removeInt(id)
+        machineList[machine.index] = null
+    }
+
+    private fun forgetAll(machine: Machine) {
+        for (attempt in machine.attempts.values.toList()) {
+            release(attempt)
+            requeue(attempt)
+        }
+    }
+
+    /** Looks for machines whose lease is surely over, and for doubts that time has settled. */
+    fun sweep(now: Long) {
+        for (machine in machines) {
+            if (!machine.silent && now - machine.answeredMs > times.surelyOverMs) {
+                log.info("{}: no report from {} within its lease; {} attempts are over", zone, machine.id, machine.attempts.size)
+                machine.silent = true
+                machine.idle = false
+                forgetAll(machine)
+            }
+        }
+        settle(now)
+    }
+
+    private fun settle(now: Long) {
+        if (settled) return
+        if (suspects.isNotEmpty() && now - claimedMs <= times.surelyOverMs) return
+        settled = true
+        var count = 0
+        for (job in jobs) {
+            job.doubtful.andNot(job.job.done)
+            count += job.doubtful.cardinality()
+            job.pending.or(job.doubtful)
+            job.doubtful.clear()
+        }
+        log.info("{}: no doubt is left {} ms after the claim; {} tasks may start", zone, now - claimedMs, count)
+    }
+
+    // ---- reports ----------------------------------------------------------------------------------------------
+
+    fun report(report: Report, now: Long): ReportDecision {
+        if (report.token > token) return ReportDecision.Superseded
+        val type = typeOf(report.type) ?: return ReportDecision.Answer(token, emptyList())
+        val machine = machine(report.machine) ?: Machine(machineList.size, report.machine, type, report.spot).also {
+            machineIndex.put(it.id, it.index)
+            machineList.add(it)
+            it.registered = it.id in registered
+            it.firstSeenMs = now
+            it.idleSinceMs = now
+        }
+        // Packets may be held back and delivered late: only a newer report says anything.
+        if (report.session < machine.session || (report.session == machine.session && report.seq <= machine.seq)) {
+            return ReportDecision.Stale
+        }
+        if (report.session > machine.session) {
+            // The worker has killed and forgotten everything of its earlier sessions.
+            forgetAll(machine)
+            machine.session = report.session
+        }
+        machine.seq = report.seq
+        machine.answeredMs = now
+        machine.silent = false
+        if (report.token < token) {
+            // Until it has seen this token, an earlier owner's answer could still reach it.
+            machine.reconciled = false
+            return ReportDecision.Answer(token, emptyList())
+        }
+        machine.reconciled = true
+        machine.noticed = report.noticeS != null
+        if (machine.noticed) machine.draining = true
+        val commands = ArrayList<Command>()
+        val shown = HashSet<Long>()
+        for (entry in report.tasks) {
+            shown.add(entry.attempt)
+            reconcile(machine, entry, now, commands)
+        }
+        for (attempt in machine.attempts.values.toList()) {
+            if (attempt.id in shown || attempt.phase == Phase.BOOKED) continue
+            // Sent in an answer to an earlier report and not here: the worker dropped that answer, and always will.
+            release(attempt)
+            requeue(attempt)
+        }
+        if (suspects.remove(machine.id)) settle(now)
+        val free = machine.attempts.isEmpty()
+        machine.reported(machine.bookedShare(), free && machine.usable)
+        if (!free) machine.idleSinceMs = now
+        place(now)
+        for (attempt in machine.attempts.values) {
+            when {
+                attempt.halting && attempt.holds && attempt.phase != Phase.BOOKED -> {
+                    val saves = attempt.job.spec.checkpointS > 0 && !attempt.job.over && !attempt.haltSent
+                    commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
+                    attempt.haltSent = true
+                }
+                attempt.phase == Phase.BOOKED -> {
+                    attempt.phase = Phase.SENT
+                    attempt.since = now
+                    commands.add(Command.start(attempt.name, attempt.id))
+                }
+            }
+        }
+        return ReportDecision.Answer(token, commands)
+    }
+
+    private fun reconcile(machine: Machine, entry: TaskReport, now: Long, commands: MutableList<Command>) {
+        val name = TaskName.parse(entry.task)
+        val exited = entry.state == TaskState.EXITED
+        val known = machine.attempts.get(entry.attempt)
+        val held = known?.job ?: job(name.job)
+        if (held == null || (held.over && exited)) {
+            // The job is over, or its task is none of ours.
+            known?.let(::release)
+            commands.add(
+                if (exited) Command.forget(entry.task, entry.attempt) else Command.halt(entry.task, entry.attempt, 0.0),
+            )
+            return
+        }
+        if (exited) {
+            known?.let(::release)
+            exited(machine, held, name.number, entry, known, now, commands)
+            return
+        }
+        val attempt = known ?: adopt(machine, held, name.number, entry, now)
+        if (attempt == null) {
+            commands.add(Command.halt(entry.task, entry.attempt, 0.0))
+            return
+        }
+        val phase = when (entry.state) {
+            TaskState.FETCHING -> Phase.FETCHING
+            TaskState.SAVING -> Phase.SAVING
+            else -> Phase.RUNNING
+        }
+        if (phase != attempt.phase) {
+            if (phase == Phase.RUNNING) {
+                attempt.since = now
+                machine.images.remove(held.spec.image)
+                machine.images.add(held.spec.image)
+                if (machine.images.size > MAX_IMAGES) machine.images.remove(machine.images.first())
+            }
+            attempt.phase = phase
+        }
+    }
+
+    private fun exited(
+        machine: Machine, held: PartJob, task: Int, entry: TaskReport, known: Attempt?, now: Long, commands: MutableList<Command>,
+    ) {
+        if (entry.cause == ExitCause.DONE) {
+            // `forget` only once the completion is durable: until then this report is the only trace of it.
+            if (held.job.done.get(task)) {
+                commands.add(Command.forget(entry.task, entry.attempt))
+            } else if (held.mine.get(task)) {
+                held.fresh.set(task)
+                held.pending.clear(task)
+                held.doubtful.clear(task)
+            }
+            machine.failedJobs.clear()
+            return
+        }
+        commands.add(Command.forget(entry.task, entry.attempt))
+        if (entry.cause == ExitCause.ERROR && known != null) {
+            held.failures++
+            machine.failedJobs.add(held.id)
+            // A job that fails everywhere must not keep all machines busy; a machine that fails many jobs is faulty.
+            if (machine.failedJobs.size >= FAULTY_JOBS || (machine.failedJobs.size >= 2 && held.failures <= 2)) machine.draining = true
+            if (held.failures > 3) held.retryAtMs = now + minOf(30_000L, 500L shl minOf(held.failures, 10))
+        }
+        if (known != null) {
+            if (entry.cause != ExitCause.ERROR && entry.cause != "stopped") log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
+            requeue(known)
+        } else if (held.mine.get(task) && !held.active.containsKey(task) && !held.fresh.get(task) && !held.job.done.get(task) && !held.leaving.get(task) && !held.doubtful.get(task)) {
+            held.pending.set(task)
+        }
+    }
+
+    /** A machine shows a task that an earlier owner started. */
+    private fun adopt(machine: Machine, held: PartJob, task: Int, entry: TaskReport, now: Long): Attempt? {
+        if (!held.mine.get(task) || held.active.containsKey(task) || held.fresh.get(task) || held.job.done.get(task)) {
+            log.warn("{}: {} shows {} (attempt {}), which it should not hold", zone, machine.id, entry.task, entry.attempt)
+            return null
+        }
+        held.pending.clear(task)
+        held.doubtful.clear(task)
+        return book(machine, held, task, entry.attempt, Phase.SENT, now)
+    }
+
+    private fun book(machine: Machine, held: PartJob, task: Int, id: Long, phase: Phase, now: Long): Attempt {
+        val attempt = Attempt(held, task, id, machine, phase, now)
+        machine.attempts.put(id, attempt)
+        machine.book(held.spec)
+        held.active.put(task, attempt)
+        val team = teamIndex.getInt(held.spec.team)
+        if (team >= 0) {
+            teamCores[team] += held.spec.cores
+            teamCards[team] += held.spec.cards
+        }
+        return attempt
+    }
+
+    /** The attempt holds nothing any more; what becomes of the task is the caller's matter. */
+    private fun release(attempt: Attempt) {
+        if (attempt.phase == Phase.EXITED) return
+        attempt.phase = Phase.EXITED
+        val spec = attempt.job.spec
+        attempt.machine.attempts.remove(attempt.id)
+        attempt.machine.unbook(spec)
+        if (attempt.job.active.get(attempt.task) === attempt) attempt.job.active.remove(attempt.task)
+        val team = teamIndex.getInt(spec.team)
+        if (team >= 0) {
+            teamCores[team] -= spec.cores
+            teamCards[team] -= spec.cards
+        }
+    }
+
+    private fun requeue(attempt: Attempt) {
+        val held = attempt.job
+        if (held.over || !held.mine.get(attempt.task) || held.fresh.get(attempt.task) || held.job.done.get(attempt.task)) return
+        held.pending.set(attempt.task)
+    }
+
+    // ---- placement --------------------------------------------------------------------------------------------
+
+    /** Places what waits: the most urgent priority first, its teams in turn by shares, and a team's jobs in order. */
+    fun place(now: Long) {
+        val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
+        if (waiting.isEmpty()) return
+        val usable = machines.filter { it.usable }
+        for (priority in Priority.entries) {
+            val queues = waiting.filter { it.spec.priority == priority }
+                .sortedBy { it.submittedMs }
+                .groupBy { teamIndex.getInt(it.spec.team) }
+                .mapValues { ArrayDeque(it.value) }
+                .toMutableMap()
+            while (queues.isNotEmpty()) {
+                val team = queues.keys.minBy { pressure(it) }
+                val queue = queues.getValue(team)
+                val job = queue.first()
+                if (!placeOne(job, usable, now) || job.pending.isEmpty) {
+                    queue.removeFirst()
+                    if (queue.isEmpty()) queues.remove(team)
+                }
+            }
+            if (priority <= Priority.HIGH) makeRoom(waiting.filter { it.spec.priority == priority }, usable)
+        }
+    }
+
+    private fun pressure(team: Int): Double = if (team < 0) 0.0 else teamCores[team] / teams[team].weight
+
+    private fun placeOne(job: PartJob, usable: List<Machine>, now: Long): Boolean {
+        val spec = job.spec
+        if (!withinLimits(job)) return false
+        val fitting = usable.filter { it.allowed(spec) && it.roomFor(spec) && job.id !in it.failedJobs }
+        val machine = Saqr.choose(fitting, random, { it.share(spec) }, { spec.image in it.images }) ?: return false
+        val task = job.pending.nextSetBit(0)
+        job.pending.clear(task)
+        book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
+        return true
+    }
+
+    private fun withinLimits(job: PartJob): Boolean {
+        val spec = job.spec
+        // Active tasks of this part are all that can be in its zone, so half of the job's tasks may be active here.
+        if (spec.spread && job.active.size + 1 > spec.perZoneLimit) return false
+        val team = teamIndex.getInt(spec.team)
+        if (team < 0) return false
+        val share = teams[team]
+        return teamCores[team] + spec.cores <= share.cores + Machine.EPS && teamCards[team] + spec.cards <= share.cards + Machine.EPS
+    }
+
+    /** Unlike any attempt of another owner or an earlier start: the token is in it. */
+    private fun nextAttempt(): Long = (token shl ATTEMPT_BITS) or ++attempts
+
+    /** Stops tasks of lower priority where a waiting task would then fit, the least work lost first. */
+    private fun makeRoom(waiting: List<PartJob>, usable: List<Machine>) {
+        val urgent = waiting.filter { !it.pending.isEmpty }
+        if (urgent.isEmpty()) return
+        val coming = usable.associateWith { machine ->
+            val leaving = machine.attempts.values.filter { it.halting }
+            Room(
+                machine.type.cores - machine.usedCores + leaving.sumOf { it.job.spec.cores },
+                machine.type.memoryGb - machine.usedMemory + leaving.sumOf { it.job.spec.memoryGb },
+                machine.type.cards - machine.usedCards + leaving.sumOf { it.job.spec.cards },
+            )
+        }
+        for (job in urgent) {
+            val spec = job.spec
+            var left = job.waiting
+            for ((machine, room) in coming) {
+                if (!machine.allowed(spec) || job.id in machine.failedJobs) continue
+                while (left > 0) {
+                    if (!room.fits(spec)) {
+                        val victims = victims(machine, room, spec) ?: break
+                        victims.forEach {
+                            room.add(it.job.spec)
+                            if (it.phase == Phase.BOOKED) {
+                                release(it)
+                                requeue(it)
+                            } else {
+                                it.halting = true
+                            }
+                        }
+                    }
+                    room.take(spec)
+                    left--
+                }
+                if (left == 0) break
+            }
+        }
+    }
+
+    private fun victims(machine: Machine, room: Room, spec: io.otterknot.wire.JobSpec): List<Attempt>? {
+        val lower = machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }
+            .sortedByDescending { if (it.phase == Phase.RUNNING) it.since else Long.MAX_VALUE }
+        val after = Room(room.cores, room.memoryGb, room.cards)
+        val chosen = ArrayList<Attempt>()
+        for (attempt in lower) {
+            if (after.fits(spec)) break
+            after.add(attempt.job.spec)
+            chosen.add(attempt)
+        }
+        return chosen.takeIf { after.fits(spec) && it.isNotEmpty() }
+    }
+
+    private class Room(var cores: Double, var memoryGb: Double, var cards: Double) {
+        fun fits(spec: io.otterknot.wire.JobSpec) =
+            spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS && spec.cards <= cards + Machine.EPS
+
+        fun add(spec: io.otterknot.wire.JobSpec) {
+            cores += spec.cores
+            memoryGb += spec.memoryGb
+            cards += spec.cards
+        }
+
+        fun take(spec: io.otterknot.wire.JobSpec) {
+            cores -= spec.cores
+            memoryGb -= spec.memoryGb
+            cards -= spec.cards
+        }
+    }
+
+    // ---- what others are told ---------------------------------------------------------------------------------
+
+    /** Cores of tasks that wait here, and of those the ones that may not use spot machines. */
+    fun waitingCores(spotAllowed: Boolean?): Double =
+        jobs.filter { spotAllowed == null || it.spec.spot == spotAllowed }
+            .sumOf { (it.waiting + it.doubtful.cardinality()) * it.spec.cores }
+
+    fun activeCores(spotAllowed: Boolean?): Double =
+        jobs.filter { spotAllowed == null || it.spec.spot == spotAllowed }.sumOf { it.active.size * it.spec.cores }
+
+    val totalCores: Double get() = machines.filter { !it.silent && !it.draining }.sumOf { it.type.cores }
+
+    /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
+    fun mean(): Double {
+        val cores = totalCores
+        val busy = machines.filter { !it.silent }.sumOf { it.usedCores }
+        return (busy + waitingCores(null)) / maxOf(cores, 1.0)
+    }
+
+    fun runningTasks(jobId: String): Int = job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
+
+    private companion object {
+        const val ATTEMPT_BITS = 24
+        const val MAX_IMAGES = 12
+        const val FAULTY_JOBS = 3
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/PartChooser.kt
@@ -0,0 +1,63 @@
+package io.otterknot.placement
+
+import io.otterknot.state.Span
+import io.otterknot.wire.JobSpec
+import kotlin.random.Random
+
+/** A part as a chooser sees it. */
+class PartView(val zone: String) {
+    var mean = 0.0
+    var cores = 0.0
+
+    /** Announced idle machines, as far as this node knows. */
+    var idleMachines = 0
+}
+
+/** The choice among parts, made like the one among machines: one announced idle, else the lower mean of two. */
+object PartChooser {
+    /** Deals the tasks of [spec] out to parts in at most [MAX_BLOCKS] blocks, raising the chosen parts' means in this view. */
+    fun deal(spec: JobSpec, parts: List<PartView>, random: Random): List<Span> {
+        val open = if (spec.zone == null) parts else parts.filter { it.zone == spec.zone }
+        if (spec.oneZone || open.size == 1) {
+            val part = choose(open, random)
+            raise(part, spec, spec.tasks)
+            return listOf(Span(part.zone, 0, spec.tasks))
+        }
+        val counts = IntArray(open.size)
+        val block = maxOf(1, (spec.tasks + MAX_BLOCKS - 1) / MAX_BLOCKS)
+        var left = spec.tasks
+        while (left > 0) {
+            val size = minOf(block, left)
+            val part = choose(open, random)
+            raise(part, spec, size)
+            counts[open.indexOf(part)] += size
+            left -= size
+        }
+        val spans = ArrayList<Span>()
+        var from = 0
+        for (index in open.indices.sortedByDescending { counts[it] }) {
+            if (counts[index] == 0) continue
+            spans.add(Span(open[index].zone, from, from + counts[index]))
+            from += counts[index]
+        }
+        return spans
+    }
+
+    fun choose(parts: List<PartView>, random: Random): PartView {
+        val idle = parts.filter { it.idleMachines > 0 }
+        if (idle.isNotEmpty()) return idle[random.nextInt(idle.size)].also { it.idleMachines-- }
+        val first = parts[random.nextInt(parts.size)]
+        if (parts.size == 1) return first
+        var other = random.nextInt(parts.size - 1)
+        if (other >= parts.indexOf(first)) other++
+        val second = parts[other]
+        return if (second.mean < first.mean) second else first
+    }
+
+    private fun raise(part: PartView, spec: JobSpec, tasks: Int) {
+        part.mean += tasks * maxOf(spec.cores, 0.1) / maxOf(part.cores, MIN_CORES)
+    }
+
+    private const val MAX_BLOCKS = 64
+    private const val MIN_CORES = 64.0
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -0,0 +1,30 @@
+package io.otterknot.placement
+
+import io.otterknot.state.Job
+import io.otterknot.wire.JobSpec
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import java.util.BitSet
+
+/** The tasks of one job that belong to this part. Each is in one of the sets, active, or done. */
+class PartJob(val index: Int, val job: Job, val spec: JobSpec, val submittedMs: Long) {
+    val id: String get() = job.id
+    val mine = BitSet()
+
+    /** May be started now. */
+    val pending = BitSet()
+
+    /** A machine that has not shown this owner's token yet may hold it. */
+    val doubtful = BitSet()
+
+    /** Leaving for another part in a transaction whose outcome is not known yet; never started here meanwhile. */
+    val leaving = BitSet()
+
+    /** Reported as completed, not yet durable. */
+    val fresh = BitSet()
+    val active = Int2ObjectOpenHashMap<Attempt>()
+    var over = false
+    var retryAtMs = 0L
+    var failures = 0
+
+    val waiting: Int get() = pending.cardinality()
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -0,0 +1,70 @@
+package io.otterknot.state
+
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.WireJson
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import java.util.Base64
+import java.util.BitSet
+
+/** The state of a job that no later one can follow. */
+@Serializable
+enum class Final {
+    @SerialName("d") DONE,
+    @SerialName("a") CANCELLED,
+}
+
+/** Tasks [from] until [until] belong to the part of [zone]. */
+@Serializable
+data class Span(@SerialName("z") val zone: String, @SerialName("f") val from: Int, @SerialName("u") val until: Int)
+
+/**
+ * A job as it is kept. Its key goes from "running" to one final state in a transaction that guards the key, so done
+ * and cancelled exclude each other; what a final job needed besides is dropped with the same transaction.
+ */
+@Serializable
+data class JobRecord(
+    @SerialName("s") val spec: JobSpec? = null,
+    @SerialName("a") val spans: List<Span> = emptyList(),
+    @SerialName("t") val submittedMs: Long = 0,
+    @SerialName("n") val nonce: String? = null,
+    @SerialName("x") val final: Final? = null,
+    @SerialName("c") val tasks: Int = 0,
+) {
+    /** The part whose owner says that the job is done. */
+    val homeZone: String? get() = spans.firstOrNull()?.zone
+}
+
+@Serializable
+data class PartRecord(@SerialName("o") val owner: String, @SerialName("i") val incarnation: String)
+
+/** A part as others see it: the mean of its machines' loads, and the cores behind it. */
+@Serializable
+data class MeanRecord(@SerialName("m") val mean: Double, @SerialName("c") val cores: Double = 0.0)
+
+@Serializable
+data class MachineRecord(@SerialName("t") val type: String = "")
+
+fun <T> encodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: T): JsonElement =
+    WireJson.encodeToJsonElement(serializer, value)
+
+fun <T> decodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: JsonElement): T =
+    WireJson.decodeFromJsonElement(serializer, value)
+
+/** Sets of tasks are kept as base64 of their bits, [CHUNK] tasks to a key. */
+object TaskBits {
+    const val CHUNK = 16_384
+
+    fun encode(bits: BitSet, chunk: Int): String =
+        Base64.getEncoder().withoutPadding().encodeToString(bits.get(chunk * CHUNK, (chunk + 1) * CHUNK).toByteArray())
+
+    fun decodeInto(text: String, chunk: Int, into: BitSet) {
+        val bits = BitSet.valueOf(Base64.getDecoder().decode(text))
+        var next = bits.nextSetBit(0)
+        while (next >= 0) {
+            into.set(chunk * CHUNK + next)
+            next = bits.nextSetBit(next + 1)
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -0,0 +1,157 @@
+package io.otterknot.state
+
+import io.otterknot.wire.Change
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonElement
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+class Entry(val value: JsonElement, val version: Long)
+
+/**
+ * A copy of everything this service keeps in the state service, changed only by the watch and so always one state
+ * that the store once had, at [revision]. Own transactions show here when the watch brings them, never before.
+ */
+class Replica(private val client: StateClient, private val random: Random, private val pauseMs: Long) {
+    private val log = LoggerFactory.getLogger(Replica::class.java)
+    private val entries = HashMap<String, Entry>()
+    private val reached = MutableStateFlow(-1L)
+    private val barrier = Barrier()
+
+    /** Told of every change, in order; the value is null for a removed key. */
+    var onChange: (key: String, entry: Entry?) -> Unit = { _, _ -> }
+
+    /** Told once a batch of changes has been applied. */
+    var onBatch: () -> Unit = {}
+
+    val revision: Long get() = reached.value
+    val loaded: Boolean get() = reached.value >= 0
+
+    operator fun get(key: String): Entry? = entries[key]
+
+    fun under(prefix: String): List<Pair<String, Entry>> =
+        entries.entries.filter { it.key.startsWith(prefix) }.map { it.key to it.value }
+
+    /** Keeps the copy up to date until cancelled. */
+    suspend fun follow() {
+        while (true) {
+            if (!loaded) {
+                if (!load()) {
+                    delay(400 + random.nextLong(400))
+                    continue
+                }
+            }
+            when (val outcome = client.watch(Keys.ROOT, reached.value, WATCH_MS)) {
+                is WatchOutcome.Events -> {
+                    apply(outcome.events.events)
+                    if (outcome.events.revision > reached.value) reached.value = outcome.events.revision
+                    onBatch()
+                    // Changes that come close together are fetched together: each new watch counts as a request.
+                    delay(pauseMs)
+                }
+                WatchOutcome.TooOld -> {
+                    log.warn("the watch fell behind; reading everything again")
+                    if (!load()) delay(400 + random.nextLong(400))
+                }
+                is WatchOutcome.Failed -> {
+                    log.info("watch failed: {}", outcome.why)
+                    delay(250 + random.nextLong(500))
+                }
+            }
+        }
+    }
+
+    private suspend fun load(): Boolean {
+        val seen = HashMap<String, Entry>()
+        var start = -1L
+        var after: String? = null
+        while (true) {
+            val page = client.list(Keys.ROOT, after) ?: return false
+            // Later pages may be newer than the first: the watch then repeats what they already hold.
+            if (start < 0) start = page.revision
+            for (item in page.items) seen[item.key] = Entry(item.value, item.version)
+            if (!page.more || page.items.isEmpty()) break
+            after = page.items.last().key
+        }
+        val gone = entries.keys.filter { it !in seen }
+        for (key in gone) {
+            entries.remove(key)
+            onChange(key, null)
+        }
+        for ((key, entry) in seen) {
+            if (entries[key]?.version == entry.version) continue
+            entries[key] = entry
+            onChange(key, entry)
+        }
+        reached.value = start
+        log.info("read {} keys at revision {}", seen.size, start)
+        onBatch()
+        return true
+    }
+
+    private fun apply(events: List<Change>) {
+        for (event in events) {
+            val version = event.version ?: continue
+            val known = entries[event.key]
+            if (known != null && known.version >= version) continue
+            val value = event.value
+            if (event.put != null && value != null) {
+                val entry = Entry(value, version)
+                entries[event.key] = entry
+                onChange(event.key, entry)
+            } else if (known != null) {
+                entries.remove(event.key)
+                onChange(event.key, null)
+            }
+        }
+    }
+
+    suspend fun reach(revision: Long, timeoutMs: Long): Boolean =
+        withTimeoutOrNull(timeoutMs) { reached.first { it >= revision } } != null
+
+    /**
+     * Waits until this copy holds everything that was in the store when the call began. One read serves all that
+     * wait; false if the state service does not answer or the watch does not catch up in time.
+     */
+    suspend fun upToDate(timeoutMs: Long): Boolean {
+        if (!loaded) return false
+        val place = barrier.enter()
+        return withTimeoutOrNull(timeoutMs) { place.await() } ?: false
+    }
+
+    /** Serves the barrier until cancelled. */
+    suspend fun serveBarrier() = barrier.serve()
+
+    private inner class Barrier {
+        private var waiting = ArrayList<CompletableDeferred<Boolean>>()
+        private val wake = kotlinx.coroutines.channels.Channel<Unit>(kotlinx.coroutines.channels.Channel.CONFLATED)
+
+        fun enter(): CompletableDeferred<Boolean> {
+            val place = CompletableDeferred<Boolean>()
+            waiting.add(place)
+            wake.trySend(Unit)
+            return place
+        }
+
+        suspend fun serve() {
+            while (true) {
+                wake.receive()
+                val served = waiting
+                waiting = ArrayList()
+                val target = client.revision()
+                val caughtUp = target != null && reach(target, BARRIER_MS)
+                served.forEach { it.complete(caughtUp) }
+                delay(pauseMs)
+            }
+        }
+    }
+
+    private companion object {
+        const val WATCH_MS = 5_000L
+        const val BARRIER_MS = 1_200L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -0,0 +1,117 @@
+package io.otterknot.state
+
+import io.otterknot.http.HttpClient
+import io.otterknot.http.Reply
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import io.otterknot.wire.LeaseGrant
+import io.otterknot.wire.LeaseRequest
+import io.otterknot.wire.Revision
+import io.otterknot.wire.StoredPage
+import io.otterknot.wire.Txn
+import io.otterknot.wire.WatchEvents
+import io.otterknot.wire.WireJson
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.KSerializer
+
+/** What came of a transaction. */
+sealed interface TxnOutcome {
+    data class Applied(val revision: Long) : TxnOutcome
+    data class Conflict(val failed: List<String>, val revision: Long) : TxnOutcome
+
+    /** Not carried out, and never will be. */
+    data class Refused(val status: Int) : TxnOutcome
+
+    /** Carried out, or still to be carried out, or not: only reading tells. */
+    data class Unknown(val why: String) : TxnOutcome
+}
+
+sealed interface RenewOutcome {
+    data object Renewed : RenewOutcome
+    data object Gone : RenewOutcome
+    data object Failed : RenewOutcome
+}
+
+sealed interface WatchOutcome {
+    class Events(val events: WatchEvents) : WatchOutcome
+    data object TooOld : WatchOutcome
+    class Failed(val why: String) : WatchOutcome
+}
+
+/** The state service's interface, within this node's share of its limits. */
+class StateClient(private val http: HttpClient, private val watchHttp: HttpClient, val budget: RateBudget) {
+
+    suspend fun list(prefix: String, after: String?): StoredPage? {
+        budget.take()
+        val from = if (after == null) "" else "&After=$after"
+        return decode(StoredPage.serializer(), http.call("GET", "/store?Under=$prefix$from&Page=200", timeoutMs = LIST_MS))
+    }
+
+    /** The revision that the service has reached, read from an absent key; null if it does not say. */
+    suspend fun revision(): Long? {
+        budget.take()
+        val reply = http.call("GET", "/store/o/none", timeoutMs = READ_MS)
+        if (reply !is Reply.Answer || reply.status != 404) return null
+        return parse(Revision.serializer(), reply)?.revision
+    }
+
+    /** The caller has taken its place in [budget]. */
+    suspend fun txn(guards: List<Guard>, changes: List<Change>): TxnOutcome {
+        val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
+        return when (val reply = http.call("POST", "/txn", body, timeoutMs = TXN_MS)) {
+            is Reply.None -> TxnOutcome.Unknown(reply.why)
+            is Reply.Answer -> when (reply.status) {
+                200 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Applied(it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
+                409 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Conflict(it.failed, it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
+                400, 429, 503 -> TxnOutcome.Refused(reply.status)
+                else -> TxnOutcome.Unknown("status ${reply.status}")
+            }
+        }
+    }
+
+    suspend fun grantLease(ttlMs: Long): Long? {
+        budget.takeAtOnce()
+        val body = WireJson.encodeToString(LeaseRequest.serializer(), LeaseRequest(ttlMs)).encodeToByteArray()
+        return decode(LeaseGrant.serializer(), http.call("POST", "/holds", body))?.lease
+    }
+
+    suspend fun renewLease(lease: Long): RenewOutcome {
+        budget.takeAtOnce()
+        val reply = http.call("POST", "/holds/$lease/extend", EMPTY, timeoutMs = RENEW_MS)
+        return when ((reply as? Reply.Answer)?.status) {
+            200 -> RenewOutcome.Renewed
+            404 -> RenewOutcome.Gone
+            else -> RenewOutcome.Failed
+        }
+    }
+
+    suspend fun watch(prefix: String, after: Long, waitMs: Long): WatchOutcome {
+        budget.take()
+        val reply = watchHttp.call("GET", "/watch?Under=$prefix&After=$after&WaitMs=$waitMs", timeoutMs = waitMs + WATCH_SLACK_MS)
+        return when {
+            reply is Reply.None -> WatchOutcome.Failed(reply.why)
+            reply is Reply.Answer && reply.status == 410 -> WatchOutcome.TooOld
+            reply is Reply.Answer && reply.status == 200 ->
+                parse(WatchEvents.serializer(), reply)?.let { WatchOutcome.Events(it) } ?: WatchOutcome.Failed("unreadable answer")
+            else -> WatchOutcome.Failed("status ${(reply as Reply.Answer).status}")
+        }
+    }
+
+    private fun <T> decode(serializer: KSerializer<T>, reply: Reply): T? =
+        if (reply is Reply.Answer && reply.status == 200) parse(serializer, reply) else null
+
+    private fun <T> parse(serializer: KSerializer<T>, reply: Reply.Answer): T? = try {
+        WireJson.decodeFromString(serializer, reply.text)
+    } catch (e: SerializationException) {
+        null
+    }
+
+    private companion object {
+        val EMPTY = ByteArray(0)
+        const val LIST_MS = 10_000L
+        const val READ_MS = 1_500L
+        const val TXN_MS = 2_500L
+        const val RENEW_MS = 1_500L
+        const val WATCH_SLACK_MS = 3_000L
+    }
+}
