--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -3,6 +3,7 @@
 import io.otterknot.cloud.CloudClient
 import io.otterknot.cloud.RentOutcome
 import io.otterknot.ownership.Ownership
+import io.otterknot.placement.Machine
 import io.otterknot.placement.Part
 import io.otterknot.wire.ListedMachine
 import io.otterknot.wire.MachineType
@@ -64,6 +65,7 @@
                 val part = parts[zone] ?: continue
                 if (ownership.token(zone) != part.token) continue
                 part.machines.forEach { if (it.reconciled) coming.remove(it.id) }
+                retire(part)
                 returnIdle(part)
                 if (open.none { it.request.zone == zone }) rent(part, offered)
             }
@@ -117,7 +119,7 @@
     }
 
     private fun view(part: Part): FleetView {
-        val own = part.machines.filter { !it.silent && !it.draining }
+        val own = part.machines.filter { !it.silent && !it.draining && !it.retiring }
         val expected = coming.values.filter { it.zone == part.zone }
         val ordinary = part.waitingCores(false) + part.activeCores(false)
         val total = part.waitingCores(null) + part.activeCores(null)
@@ -132,13 +134,22 @@
         )
     }
 
+    /**
+     * Spreading work over all machines, as the design does, leaves few of them idle when demand falls. So what a part
+     * can do without is emptied first, the least loaded machine before others, and taken back into use if demand
+     * returns before it is empty.
+     */
+    private fun retire(part: Part) {
+        for (machine in part.machines.filter { it.retiring }) machine.retiring = false
+        val candidates = part.machines.filter { it.usable && nowMs() - it.firstSeenMs > KEEP_MS }
+            .sortedWith(compareBy<Machine> { it.spot }.thenBy { it.bookedShare() })
+        for (machine in candidates) {
+            if (policy.spares(view(part), machine.spot, machine.type.cores)) machine.retiring = true
+        }
+    }
+
     private suspend fun returnIdle(part: Part) {
-        val now = nowMs()
-        val out = part.machines.filter { machine ->
-            if (machine.attempts.isNotEmpty() || machine.silent) return@filter false
-            machine.draining && !machine.noticed ||
-                machine.usable && policy.mayReturn(view(part), machine.spot, machine.type.cores, now - machine.idleSinceMs)
-        }.take(1)
+        val out = part.machines.filter { it.attempts.isEmpty() && !it.silent && (it.retiring || it.draining && !it.noticed) }
         if (out.isEmpty()) return
         out.forEach { it.draining = true }
         release(out.map { it.id }, "idle or faulty")
@@ -223,5 +234,6 @@
         const val SLOW_BOOT = 5.0
         const val MIN_BOOT_S = 60.0
         const val PEAK_MS = 15_000L
+        const val KEEP_MS = 30_000L
     }
 }
--- a/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
+++ b/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
@@ -53,15 +53,15 @@
         return rents
     }
 
-    /** Whether an idle machine of this many cores may go back. */
-    fun mayReturn(view: FleetView, spot: Boolean, cores: Double, idleMs: Long): Boolean {
-        if (!thrifty || idleMs < IDLE_MS) return false
-        if (view.totalSupply - cores < view.totalDemand) return false
-        return spot || view.ordinarySupply - cores >= view.ordinaryDemand
+    /** Whether a part can do without a machine of this many cores; where no price is named, it always keeps it. */
+    fun spares(view: FleetView, spot: Boolean, cores: Double): Boolean {
+        if (!thrifty) return false
+        if (view.totalSupply - cores < view.totalDemand * (1 + SLACK)) return false
+        return spot || view.ordinarySupply - cores >= view.ordinaryDemand * (1 + SLACK)
     }
 
     private companion object {
         const val BATCH = 6
-        const val IDLE_MS = 20_000L
+        const val SLACK = 0.1
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -14,6 +14,17 @@
     val holds: Boolean get() = phase != Phase.EXITED
 }
 
+class Amounts(var cores: Double = 0.0, var memoryGb: Double = 0.0, var cards: Double = 0.0) {
+    fun covers(spec: JobSpec) =
+        spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS && spec.cards <= cards + Machine.EPS
+
+    fun add(spec: JobSpec) {
+        cores += spec.cores
+        memoryGb += spec.memoryGb
+        cards += spec.cards
+    }
+}
+
 /** A machine in this part and the ledger of what is booked on it: reported, or sent and not yet reported. */
 class Machine(val index: Int, val id: String, val type: MachineType, val spot: Boolean) : Place() {
     var session = 0L
@@ -38,13 +49,27 @@
     var usedCards = 0.0
     var usedMemory = 0.0
 
-    val usable: Boolean get() = reconciled && registered && !draining && !silent
+    /** Not needed any more: takes no new task and goes back once it is empty, unless it is needed again before. */
+    var retiring = false
+
+    /** What is being freed here by stopping tasks, and what of this machine waiting tasks of a higher priority are to get. */
+    var freeing = Amounts()
+    var held = Amounts()
+
+    val usable: Boolean get() = reconciled && registered && !draining && !silent && !retiring
 
     fun roomFor(spec: JobSpec): Boolean =
         usedCores + spec.cores <= type.cores + EPS &&
             usedMemory + spec.memoryGb <= type.memoryGb + EPS &&
             usedCards + spec.cards <= type.cards + EPS
 
+    /** Room that is not meant for a task of a higher priority. */
+    fun spareFor(spec: JobSpec): Boolean =
+        roomFor(spec) &&
+            usedCores - freeing.cores + held.cores + spec.cores <= type.cores + EPS &&
+            usedMemory - freeing.memoryGb + held.memoryGb + spec.memoryGb <= type.memoryGb + EPS &&
+            usedCards - freeing.cards + held.cards + spec.cards <= type.cards + EPS
+
     fun allowed(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type.name in spec.types)
 
     fun book(spec: JobSpec) {
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -3,6 +3,7 @@
 import io.otterknot.state.Job
 import io.otterknot.wire.Command
 import io.otterknot.wire.ExitCause
+import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.Priority
 import io.otterknot.wire.Report
@@ -372,6 +373,10 @@
         val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
         if (waiting.isEmpty()) return
         val usable = machines.filter { it.usable }
+        for (machine in usable) {
+            machine.held = Amounts()
+            machine.freeing = Amounts().apply { machine.attempts.values.forEach { if (it.halting) add(it.job.spec) } }
+        }
         for (priority in Priority.entries) {
             val queues = waiting.filter { it.spec.priority == priority }
                 .sortedBy { it.submittedMs }
@@ -387,7 +392,7 @@
                     if (queue.isEmpty()) queues.remove(team)
                 }
             }
-            if (priority <= Priority.HIGH) makeRoom(waiting.filter { it.spec.priority == priority }, usable)
+            if (priority < Priority.BEST_EFFORT) makeRoom(waiting.filter { it.spec.priority == priority && !it.pending.isEmpty }, usable)
         }
     }
 
@@ -396,7 +401,7 @@
     private fun placeOne(job: PartJob, usable: List<Machine>, now: Long): Boolean {
         val spec = job.spec
         if (!withinLimits(job)) return false
-        val fitting = usable.filter { it.allowed(spec) && it.roomFor(spec) && job.id !in it.failedJobs }
+        val fitting = usable.filter { it.allowed(spec) && it.spareFor(spec) && job.id !in it.failedJobs }
         val machine = Saqr.choose(fitting, random, { it.share(spec) }, { spec.image in it.images }) ?: return false
         val task = job.pending.nextSetBit(0)
         job.pending.clear(task)
@@ -417,72 +422,49 @@
     /** Unlike any attempt of another owner or an earlier start: the token is in it. */
     private fun nextAttempt(): Long = (token shl ATTEMPT_BITS) or ++attempts
 
-    /** Stops tasks of lower priority where a waiting task would then fit, the least work lost first. */
+    /**
+     * Stops tasks of lower priority where a waiting task would then fit, the least work lost first, and holds the room
+     * for it. Without holding it, lower work that waits would take each freed core before the urgent task fits.
+     */
     private fun makeRoom(waiting: List<PartJob>, usable: List<Machine>) {
-        val urgent = waiting.filter { !it.pending.isEmpty }
-        if (urgent.isEmpty()) return
-        val coming = usable.associateWith { machine ->
-            val leaving = machine.attempts.values.filter { it.halting }
-            Room(
-                machine.type.cores - machine.usedCores + leaving.sumOf { it.job.spec.cores },
-                machine.type.memoryGb - machine.usedMemory + leaving.sumOf { it.job.spec.memoryGb },
-                machine.type.cards - machine.usedCards + leaving.sumOf { it.job.spec.cards },
-            )
-        }
-        for (job in urgent) {
+        for (job in waiting) {
             val spec = job.spec
             var left = job.waiting
-            for ((machine, room) in coming) {
-                if (!machine.allowed(spec) || job.id in machine.failedJobs) continue
-                while (left > 0) {
-                    if (!room.fits(spec)) {
-                        val victims = victims(machine, room, spec) ?: break
-                        victims.forEach {
-                            room.add(it.job.spec)
-                            if (it.phase == Phase.BOOKED) {
-                                release(it)
-                                requeue(it)
-                            } else {
-                                it.halting = true
-                            }
-                        }
-                    }
-                    room.take(spec)
-                    left--
-                }
+            for (machine in usable) {
                 if (left == 0) break
+                if (!machine.allowed(spec) || job.id in machine.failedJobs) continue
+                while (left > 0 && hold(machine, spec)) left--
             }
         }
     }
 
-    private fun victims(machine: Machine, room: Room, spec: io.otterknot.wire.JobSpec): List<Attempt>? {
-        val lower = machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }
-            .sortedByDescending { if (it.phase == Phase.RUNNING) it.since else Long.MAX_VALUE }
-        val after = Room(room.cores, room.memoryGb, room.cards)
-        val chosen = ArrayList<Attempt>()
-        for (attempt in lower) {
-            if (after.fits(spec)) break
-            after.add(attempt.job.spec)
-            chosen.add(attempt)
-        }
-        return chosen.takeIf { after.fits(spec) && it.isNotEmpty() }
-    }
-
-    private class Room(var cores: Double, var memoryGb: Double, var cards: Double) {
-        fun fits(spec: io.otterknot.wire.JobSpec) =
-            spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS && spec.cards <= cards + Machine.EPS
-
-        fun add(spec: io.otterknot.wire.JobSpec) {
-            cores += spec.cores
-            memoryGb += spec.memoryGb
-            cards += spec.cards
-        }
-
-        fun take(spec: io.otterknot.wire.JobSpec) {
-            cores -= spec.cores
-            memoryGb -= spec.memoryGb
-            cards -= spec.cards
+    private fun hold(machine: Machine, spec: JobSpec): Boolean {
+        val open = Amounts(
+            machine.type.cores - machine.usedCores + machine.freeing.cores - machine.held.cores,
+            machine.type.memoryGb - machine.usedMemory + machine.freeing.memoryGb - machine.held.memoryGb,
+            machine.type.cards - machine.usedCards + machine.freeing.cards - machine.held.cards,
+        )
+        if (!open.covers(spec)) {
+            val victims = ArrayList<Attempt>()
+            for (attempt in machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }
+                .sortedByDescending { if (it.phase == Phase.RUNNING) it.since else Long.MAX_VALUE }) {
+                open.add(attempt.job.spec)
+                victims.add(attempt)
+                if (open.covers(spec)) break
+            }
+            if (!open.covers(spec)) return false
+            for (victim in victims) {
+                if (victim.phase == Phase.BOOKED) {
+                    release(victim)
+                    requeue(victim)
+                } else {
+                    victim.halting = true
+                    machine.freeing.add(victim.job.spec)
+                }
+            }
         }
+        machine.held.add(spec)
+        return true
     }
 
     // ---- what others are told ---------------------------------------------------------------------------------
@@ -495,7 +477,7 @@
     fun activeCores(spotAllowed: Boolean?): Double =
         jobs.filter { spotAllowed == null || it.spec.spot == spotAllowed }.sumOf { it.active.size * it.spec.cores }
 
-    val totalCores: Double get() = machines.filter { !it.silent && !it.draining }.sumOf { it.type.cores }
+    val totalCores: Double get() = machines.filter { !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
 
     /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
     fun mean(): Double {
