--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -4,6 +4,7 @@
 import io.otterknot.api.UserApi
 import io.otterknot.cloud.CloudClient
 import io.otterknot.config.HostPort
+import io.otterknot.config.Objective
 import io.otterknot.config.Settings
 import io.otterknot.fleet.Fleet
 import io.otterknot.fleet.FleetPolicy
@@ -13,6 +14,9 @@
 import io.otterknot.http.HttpServer
 import io.otterknot.ownership.Ownership
 import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.ownership.Handover
+import io.otterknot.placement.Aim
+import io.otterknot.placement.Aims
 import io.otterknot.placement.Part
 import io.otterknot.placement.PartTimes
 import io.otterknot.placement.PartView
@@ -26,6 +30,7 @@
 import io.otterknot.state.StateClient
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
+import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MAX_BODY_BYTES
 import io.otterknot.workers.ReportDoor
 import kotlinx.coroutines.CoroutineScope
@@ -71,7 +76,7 @@
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
     private val fleet = Fleet(
         cloud, ownership, parts,
-        FleetPolicy(thrifty = facts.objectives.any { it.kind == "price" }, maxMachines = MAX_MACHINES_PER_PART),
+        FleetPolicy(MAX_MACHINES_PER_PART),
         leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
@@ -81,6 +86,10 @@
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
         (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
     )
+    private val aims = Aims(
+        facts.objectives.filter { it.jobKind != null }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
+    )
+    private val handover = Handover(state, replica, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val server = HttpServer(selector, maxOf(32, facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, ::route)
 
@@ -100,6 +109,7 @@
         duty("fleet") { fleet.manage() }
         duty("inspection") { fleet.inspect() }
         duty("records") { keeper.keep() }
+        duty("handover") { handover.balance() }
         duty("sweep") {
             while (true) {
                 delay(SWEEP_MS)
@@ -159,6 +169,8 @@
                 val mean = if (entry == null) MeanRecord(0.0) else decodeRecord(MeanRecord.serializer(), entry.value)
                 view.mean = mean.mean
                 view.cores = mean.cores
+                view.ordinaryMean = mean.ordinaryMean
+                view.ordinaryCores = mean.ordinaryCores
             }
         }
     }
@@ -171,13 +183,23 @@
         for ((zone, token) in due) {
             if (ownership.claimed(zone) != token) continue
             val registered = replica.under(Keys.MACHINES + zone + "/").map { it.first.substringAfterLast('/') }
-            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, fleet::type, teamShares(), registered)
+            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(), registered)
             jobs.live.values.forEach { part.updateJob(it, inherited = true) }
             parts[zone] = part
             log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
         }
     }
 
+    private fun aim(objective: Objective): Aim? = when (objective.kind) {
+        "wait" -> objective.withinS?.let(Aim::Started)
+        "finished" -> objective.withinS?.let(Aim::Finished)
+        "deadline" -> Aim.Deadline(objective.times ?: 1.0)
+        else -> null
+    }
+
+    private fun offers(zone: String, spec: JobSpec): Boolean =
+        fleet.types.orEmpty().any { zone in it.zones && (spec.types == null || it.name in spec.types) }
+
     /** Each part may use an equal share of a team's limit, so that together they never pass it. */
     private fun teamShares() = facts.teams.map { team ->
         fun limit(max: Double) = if (max > 0) max / zones.size else Double.MAX_VALUE
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -87,12 +87,13 @@
     private fun mean(part: Part): Wish? {
         val key = Keys.mean(part.zone)
         val told = replica[key]?.let { decodeRecord(MeanRecord.serializer(), it.value) }
-        val mean = Math.round(part.mean() * 1000) / 1000.0
-        if (told != null && abs(told.mean - mean) < MEAN_STEP) return null
+        val mean = round(part.mean())
+        val ordinary = round(part.ordinaryMean())
+        if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP) return null
         val now = nowMs()
         if (now - (meanSentMs[part.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
         meanSentMs[part.zone] = now
-        return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores)))
+        return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores)))
     }
 
     /** The owner of a job's home part makes it final once the completions of all its tasks are durable. */
@@ -118,6 +119,8 @@
         }
     }
 
+    private fun round(value: Double) = Math.round(value * 1000) / 1000.0
+
     private companion object {
         const val PAUSE_MS = 200L
         const val MEAN_STEP = 0.1
--- a/src/main/kotlin/io/otterknot/config/Settings.kt
+++ b/src/main/kotlin/io/otterknot/config/Settings.kt
@@ -56,6 +56,7 @@
     @SerialName("class") val jobKind: String? = null,
     @SerialName("within_s") val withinS: Double? = null,
     val share: Double? = null,
+    val times: Double? = null,
 )
 
 @Serializable
--- a/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
+++ b/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
@@ -18,50 +18,46 @@
 )
 
 /**
- * How much to rent. Where the operator's aims name no price, capacity is taken as soon as the cloud has it, up to
- * [maxMachines]: idle machines cost nothing that anybody looks at, and a boot is longer than most waits asked for.
+ * How much to rent and to keep: what the highest demand of the last while took, and a little more. Spot machines are
+ * rented for whatever may use them, ordinary ones only for work that may use no other.
  */
-class FleetPolicy(private val thrifty: Boolean, private val maxMachines: Int) {
+class FleetPolicy(private val maxMachines: Int) {
 
     fun rent(view: FleetView, types: List<MachineType>, zone: String, closed: (Kind) -> Boolean): List<Rent> {
-        val room = maxMachines - view.machines
-        if (room <= 0) return emptyList()
+        var room = maxMachines - view.machines
         val here = types.filter { zone in it.zones }
-        if (here.isEmpty()) return emptyList()
-        if (!thrifty) {
-            val kinds = here.flatMap { listOf(Kind(it.name, true), Kind(it.name, false)) }.filterNot(closed)
-            return kinds.map { Rent(it, minOf(room, BATCH)) }
-        }
         val rents = ArrayList<Rent>()
-        var ordinaryGap = view.ordinaryDemand - view.ordinarySupply
-        // Ordinary machines are rented for work that waits: the one that is up first serves it best.
-        for (type in here.sortedBy { it.bootS }) {
-            val kind = Kind(type.name, false)
-            if (ordinaryGap <= 0 || closed(kind)) continue
-            val count = minOf(room, Math.ceil(ordinaryGap / type.cores).toInt())
+        fun take(kind: Kind, cores: Double, gap: Double): Double {
+            val count = minOf(room, Math.ceil(gap / cores).toInt())
+            if (count <= 0) return 0.0
+            room -= count
             rents.add(Rent(kind, count))
-            ordinaryGap = 0.0
+            return count * cores
         }
-        var gap = view.totalDemand - view.totalSupply - rents.sumOf { rent -> rent.count * here.first { it.name == rent.kind.type }.cores }
-        for (type in here.sortedBy { it.spotPrice / it.cores }) {
-            val kind = Kind(type.name, true)
-            if (gap <= type.cores / 4 || closed(kind)) continue
-            val count = minOf(room, Math.ceil(gap / type.cores).toInt())
-            rents.add(Rent(kind, count))
-            gap = 0.0
+        // Work that waits for an ordinary machine is served best by the type that is up first.
+        var ordinaryGap = view.ordinaryDemand * (1 + HEADROOM) - view.ordinarySupply
+        val ordinary = here.filterNot { closed(Kind(it.name, false)) }.minByOrNull { it.bootS }
+        if (ordinary != null) ordinaryGap -= take(Kind(ordinary.name, false), ordinary.cores, ordinaryGap)
+        val rented = rents.sumOf { rent -> rent.count * here.first { it.name == rent.kind.type }.cores }
+        val gap = view.totalDemand * (1 + HEADROOM) - view.totalSupply - rented
+        val spot = here.filterNot { closed(Kind(it.name, true)) }.minByOrNull { it.spotPrice / it.cores }
+        if (spot != null) {
+            take(Kind(spot.name, true), spot.cores, gap)
+        } else if (gap > 0) {
+            // No spot machine is to be had: an ordinary one costs more, but the work would wait.
+            val dear = here.filterNot { closed(Kind(it.name, false)) }.minByOrNull { it.price / it.cores }
+            if (dear != null && rents.isEmpty()) take(Kind(dear.name, false), dear.cores, gap)
         }
         return rents
     }
 
-    /** Whether a part can do without a machine of this many cores; where no price is named, it always keeps it. */
+    /** Whether a part can do without a machine of this many cores. */
     fun spares(view: FleetView, spot: Boolean, cores: Double): Boolean {
-        if (!thrifty) return false
-        if (view.totalSupply - cores < view.totalDemand * (1 + SLACK)) return false
-        return spot || view.ordinarySupply - cores >= view.ordinaryDemand * (1 + SLACK)
+        if (view.totalSupply - cores < view.totalDemand * (1 + HEADROOM)) return false
+        return spot || view.ordinarySupply - cores >= view.ordinaryDemand * (1 + HEADROOM)
     }
 
     private companion object {
-        const val BATCH = 6
-        const val SLACK = 0.1
+        const val HEADROOM = 0.15
     }
 }
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -0,0 +1,115 @@
+package io.otterknot.ownership
+
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartJob
+import io.otterknot.placement.PartView
+import io.otterknot.state.JobRecord
+import io.otterknot.state.Keys
+import io.otterknot.state.Replica
+import io.otterknot.state.Spans
+import io.otterknot.state.StateClient
+import io.otterknot.state.TxnOutcome
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import io.otterknot.wire.JobSpec
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+import kotlin.random.Random
+
+/**
+ * Moves tasks that wait in a part to one with a lower mean. The owner of the part that gives does it, in a transaction
+ * on the job and its part's key; until the outcome is known the tasks belong to nobody's queue.
+ */
+class Handover(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val ownership: Ownership,
+    private val parts: Map<String, Part>,
+    private val views: Map<String, PartView>,
+    private val offers: (zone: String, spec: JobSpec) -> Boolean,
+    private val nowMs: () -> Long,
+    private val random: Random,
+) {
+    private val log = LoggerFactory.getLogger(Handover::class.java)
+
+    suspend fun balance() {
+        while (true) {
+            delay(EVERY_MS + random.nextLong(400))
+            for (part in parts.values.toList()) give(part)
+        }
+    }
+
+    private suspend fun give(part: Part) {
+        if (ownership.token(part.zone) != part.token || !part.settled) return
+        var moves = 0
+        for (held in part.waitingInOrder(nowMs())) {
+            if (moves >= MOVES) return
+            if (held.over || held.spec.oneZone || held.spec.zone != null || held.pending.isEmpty) continue
+            val spec = held.spec
+            val cores = if (spec.spot) part.totalCores else part.ordinaryCores
+            val own = if (spec.spot) part.mean() else part.ordinaryMean()
+            val target = views.values.filter { it.zone != part.zone && offers(it.zone, spec) && ownership.ownerOf(it.zone) != null }
+                .minByOrNull { it.meanFor(spec) } ?: return
+            val gap = own - target.meanFor(spec)
+            if (gap < MIN_GAP) continue
+            // Half of the gap, in cores of the smaller part: both means then meet, and nothing swings back.
+            val theirs = if (spec.spot) target.cores else target.ordinaryCores
+            val amount = gap / 2 * minOf(maxOf(cores, 1.0), maxOf(theirs, 1.0))
+            val tasks = part.setAside(held, maxOf(amount, spec.cores))
+            if (tasks.isEmpty) continue
+            moves++
+            target.raise(spec, tasks.cardinality())
+            move(part, held, tasks, target.zone)
+        }
+    }
+
+    private suspend fun move(part: Part, held: PartJob, tasks: BitSet, zone: String) {
+        val record = held.job.record
+        val version = held.job.version
+        if (record?.spec == null) return
+        val spans = Spans.move(record.spans, tasks, zone)
+        if (spans.size > MAX_SPANS) {
+            part.settleHandover(held, tasks)
+            return
+        }
+        val key = Keys.job(held.id)
+        val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
+        val owner = Guard(Keys.part(part.zone), part.token)
+        while (parts[part.zone] === part) {
+            client.budget.take(1)
+            when (val outcome = client.txn(listOf(Guard(key, version), owner), listOf(Change(put = key, value = value)))) {
+                is TxnOutcome.Applied -> {
+                    log.debug("{}: {} tasks of {} go to {}", part.zone, tasks.cardinality(), held.id, zone)
+                    if (settled(outcome.revision, part)) part.settleHandover(held, tasks)
+                    return
+                }
+                // The job's key has changed, by this transaction or another: its version rules out a late one.
+                is TxnOutcome.Conflict -> {
+                    if (owner.key in outcome.failed) ownership.superseded(part.zone)
+                    if (settled(outcome.revision, part)) part.settleHandover(held, tasks)
+                    return
+                }
+                // It may still be carried out. The same one again tells: it applies, or the key has changed.
+                is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(400 + random.nextLong(600))
+            }
+        }
+    }
+
+    /** Waits until the replica shows the outcome, for as long as the part is ours. */
+    private suspend fun settled(revision: Long, part: Part): Boolean {
+        while (parts[part.zone] === part) {
+            if (replica.reach(revision, REACH_MS)) return true
+        }
+        return false
+    }
+
+    private companion object {
+        const val EVERY_MS = 900L
+        const val MOVES = 3
+        const val MIN_GAP = 0.15
+        const val MAX_SPANS = 48
+        const val REACH_MS = 2_000L
+    }
+}
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -49,6 +49,8 @@
     private val claimedMs: Long,
     private val times: PartTimes,
     private val random: Random,
+    private val aims: Aims,
+    private val wallOf: (Long) -> Long,
     private val typeOf: (String) -> MachineType?,
     teams: List<TeamShare>,
     registeredMachines: Collection<String>,
@@ -110,6 +112,28 @@
         held.leaving.andNot(left)
     }
 
+    /** Sets tasks of [held] that wait aside for another part, up to so many [cores]; the last ones first. */
+    fun setAside(held: PartJob, cores: Double): BitSet {
+        var left = if (held.spec.cores > 0) (cores / held.spec.cores).toInt() else held.waiting
+        val chosen = BitSet()
+        var task = held.pending.length() - 1
+        while (task >= 0 && left > 0) {
+            chosen.set(task)
+            left--
+            task = held.pending.previousSetBit(task - 1)
+        }
+        held.pending.andNot(chosen)
+        held.leaving.or(chosen)
+        return chosen
+    }
+
+    /** The handover of [tasks] is settled: what still belongs to this part waits here again. */
+    fun settleHandover(held: PartJob, tasks: BitSet) {
+        val kept = (tasks.clone() as BitSet).apply { and(held.mine); and(held.leaving) }
+        held.leaving.andNot(tasks)
+        if (!held.over) held.pending.or(kept)
+    }
+
     /** Completions became durable. */
     fun updateDone(job: Job) {
         val held = job(job.id) ?: return
@@ -370,6 +394,7 @@
 
     /** Places what waits: the most urgent priority first, its teams in turn by shares, and a team's jobs in order. */
     fun place(now: Long) {
+        val order = inOrder(now)
         val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
         if (waiting.isEmpty()) return
         val usable = machines.filter { it.usable }
@@ -379,7 +404,7 @@
         }
         for (priority in Priority.entries) {
             val queues = waiting.filter { it.spec.priority == priority }
-                .sortedBy { it.submittedMs }
+                .sortedWith(order)
                 .groupBy { teamIndex.getInt(it.spec.team) }
                 .mapValues { ArrayDeque(it.value) }
                 .toMutableMap()
@@ -396,6 +421,18 @@
         }
     }
 
+    private fun inOrder(now: Long): Comparator<PartJob> {
+        val wall = wallOf(now)
+        return compareBy<PartJob> { aims.isLate(it.spec, wall - it.submittedMs) }
+            .thenBy { if (it.spec.dueS != null) it.remainingWork else 0.0 }
+            .thenBy { it.submittedMs }
+            .thenBy { it.id }
+    }
+
+    /** Jobs of which tasks wait, the most urgent first. */
+    fun waitingInOrder(now: Long): List<PartJob> = jobs.filter { !it.pending.isEmpty }
+        .sortedWith(compareBy<PartJob> { it.spec.priority }.then(inOrder(now)))
+
     private fun pressure(team: Int): Double = if (team < 0) 0.0 else teamCores[team] / teams[team].weight
 
     private fun placeOne(job: PartJob, usable: List<Machine>, now: Long): Boolean {
@@ -479,6 +516,10 @@
 
     val totalCores: Double get() = machines.filter { !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
 
+    val ordinaryCores: Double get() = machines.filter { !it.spot && !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
+
+    fun ordinaryMean(): Double = (activeCores(false) + waitingCores(false)) / maxOf(ordinaryCores, 1.0)
+
     /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
     fun mean(): Double {
         val cores = totalCores
--- a/src/main/kotlin/io/otterknot/placement/PartChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartChooser.kt
@@ -8,6 +8,22 @@
 class PartView(val zone: String) {
     var mean = 0.0
     var cores = 0.0
+    var ordinaryMean = 0.0
+    var ordinaryCores = 0.0
+
+    /** The mean that matters to a job: one that may not use spot machines gains nothing from what is free there. */
+    fun meanFor(spec: JobSpec): Double = if (spec.spot) mean else maxOf(ordinaryMean, 0.0)
+
+    /** Raises the mean in this view by what [tasks] of a job will add. */
+    fun raise(spec: JobSpec, tasks: Int) {
+        val amount = tasks * maxOf(spec.cores, 0.1)
+        mean += amount / maxOf(cores, MIN_CORES)
+        if (!spec.spot) ordinaryMean += amount / maxOf(ordinaryCores, MIN_CORES)
+    }
+
+    private companion object {
+        const val MIN_CORES = 32.0
+    }
 
     /** Announced idle machines, as far as this node knows. */
     var idleMachines = 0
@@ -19,8 +35,8 @@
     fun deal(spec: JobSpec, parts: List<PartView>, random: Random): List<Span> {
         val open = if (spec.zone == null) parts else parts.filter { it.zone == spec.zone }
         if (spec.oneZone || open.size == 1) {
-            val part = choose(open, random)
-            raise(part, spec, spec.tasks)
+            val part = choose(open, spec, random)
+            part.raise(spec, spec.tasks)
             return listOf(Span(part.zone, 0, spec.tasks))
         }
         val counts = IntArray(open.size)
@@ -28,8 +44,8 @@
         var left = spec.tasks
         while (left > 0) {
             val size = minOf(block, left)
-            val part = choose(open, random)
-            raise(part, spec, size)
+            val part = choose(open, spec, random)
+            part.raise(spec, size)
             counts[open.indexOf(part)] += size
             left -= size
         }
@@ -43,7 +59,7 @@
         return spans
     }
 
-    fun choose(parts: List<PartView>, random: Random): PartView {
+    fun choose(parts: List<PartView>, spec: JobSpec, random: Random): PartView {
         val idle = parts.filter { it.idleMachines > 0 }
         if (idle.isNotEmpty()) return idle[random.nextInt(idle.size)].also { it.idleMachines-- }
         val first = parts[random.nextInt(parts.size)]
@@ -51,13 +67,8 @@
         var other = random.nextInt(parts.size - 1)
         if (other >= parts.indexOf(first)) other++
         val second = parts[other]
-        return if (second.mean < first.mean) second else first
-    }
-
-    private fun raise(part: PartView, spec: JobSpec, tasks: Int) {
-        part.mean += tasks * maxOf(spec.cores, 0.1) / maxOf(part.cores, MIN_CORES)
+        return if (second.meanFor(spec) < first.meanFor(spec)) second else first
     }
 
     private const val MAX_BLOCKS = 64
-    private const val MIN_CORES = 64.0
 }
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -26,5 +26,8 @@
     var retryAtMs = 0L
     var failures = 0
 
+    /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
+    val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
+
     val waiting: Int get() = pending.cardinality()
 }
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -39,9 +39,44 @@
 @Serializable
 data class PartRecord(@SerialName("o") val owner: String, @SerialName("i") val incarnation: String)
 
-/** A part as others see it: the mean of its machines' loads, and the cores behind it. */
+/**
+ * A part as others see it: the mean of its machines' loads and the cores behind it; and the same for its ordinary
+ * machines alone with the tasks that may run on no other, since those cannot use what is free on spot machines.
+ */
 @Serializable
-data class MeanRecord(@SerialName("m") val mean: Double, @SerialName("c") val cores: Double = 0.0)
+data class MeanRecord(
+    @SerialName("m") val mean: Double,
+    @SerialName("c") val cores: Double = 0.0,
+    @SerialName("om") val ordinaryMean: Double = 0.0,
+    @SerialName("oc") val ordinaryCores: Double = 0.0,
+)
+
+/** Who owns which tasks of a job, as spans in the order of the tasks. */
+object Spans {
+    /** The spans once [tasks] belong to [zone]. */
+    fun move(spans: List<Span>, tasks: BitSet, zone: String): List<Span> {
+        val moved = ArrayList<Span>()
+        fun add(owner: String, from: Int, until: Int) {
+            val last = moved.lastOrNull()
+            if (last != null && last.zone == owner && last.until == from) {
+                moved[moved.size - 1] = last.copy(until = until)
+            } else {
+                moved.add(Span(owner, from, until))
+            }
+        }
+        for (span in spans.sortedBy { it.from }) {
+            var at = span.from
+            while (at < span.until) {
+                val moving = tasks.get(at)
+                val next = if (moving) tasks.nextClearBit(at) else tasks.nextSetBit(at).let { if (it < 0) span.until else it }
+                val until = minOf(next, span.until)
+                add(if (moving) zone else span.zone, at, until)
+                at = until
+            }
+        }
+        return moved
+    }
+}
 
 @Serializable
 data class MachineRecord(@SerialName("t") val type: String = "")
