--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -74,10 +74,13 @@
         RateBudget(SHARE * facts.cloud.rps / nodes, 1.0, nowMs),
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
+    private val aims = Aims(
+        facts.objectives.filter { it.jobKind != null }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
+    )
     private val fleet = Fleet(
         cloud, ownership, parts,
-        FleetPolicy(MAX_MACHINES_PER_PART),
-        leaseMs, nowMs, random,
+        FleetPolicy(MAX_MACHINES_PER_PART), { boot -> aims.readyShare(boot) },
+        (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
     private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.txnOps, MAX_BATCH))
@@ -86,9 +89,6 @@
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
         (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
     )
-    private val aims = Aims(
-        facts.objectives.filter { it.jobKind != null }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
-    )
     private val handover = Handover(state, replica, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val server = HttpServer(selector, maxOf(32, facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, ::route)
@@ -191,7 +191,7 @@
     }
 
     private fun aim(objective: Objective): Aim? = when (objective.kind) {
-        "wait" -> objective.withinS?.let(Aim::Started)
+        "wait" -> objective.withinS?.let { Aim.Started(it, objective.share ?: 0.5) }
         "finished" -> objective.withinS?.let(Aim::Finished)
         "deadline" -> Aim.Deadline(objective.times ?: 1.0)
         else -> null
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -18,6 +18,8 @@
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
     private val policy: FleetPolicy,
+    private val readyShare: (bootS: Double) -> Double,
+    private val reportMs: Long,
     private val leaseMs: Long,
     private val nowMs: () -> Long,
     private val random: Random,
@@ -32,7 +34,7 @@
     private val coming = HashMap<String, Coming>()
     private val closedUntil = HashMap<Pair<String, Kind>, Long>()
     private val open = ArrayList<Open>()
-    private val demandPeaks = HashMap<String, DemandPeak>()
+    private val recentDemand = HashMap<String, RecentDemand>()
     private val gone = HashSet<String>()
     private var counter = 0L
 
@@ -65,6 +67,7 @@
                 val part = parts[zone] ?: continue
                 if (ownership.token(zone) != part.token) continue
                 part.machines.forEach { if (it.reconciled) coming.remove(it.id) }
+                release(part.hung(nowMs(), maxOf(HUNG_REPORTS * reportMs, HUNG_MS)), "hung")
                 retire(part)
                 returnIdle(part)
                 if (open.none { it.request.zone == zone }) rent(part, offered)
@@ -123,11 +126,12 @@
         val expected = coming.values.filter { it.zone == part.zone }
         val ordinary = part.waitingCores(false) + part.activeCores(false)
         val total = part.waitingCores(null) + part.activeCores(null)
-        val peak = demandPeaks.getOrPut(part.zone) { DemandPeak() }
+        val recent = recentDemand.getOrPut(part.zone) { RecentDemand() }
         val now = nowMs()
+        val share = readyShare(types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0)
         return FleetView(
-            ordinaryDemand = peak.ordinary.note(now, ordinary),
-            totalDemand = peak.total.note(now, total),
+            ordinaryDemand = recent.ordinary.note(now, ordinary, share),
+            totalDemand = recent.total.note(now, total, share),
             ordinarySupply = own.filter { !it.spot }.sumOf { it.type.cores } + expected.filter { !it.kind.spot }.sumOf { it.cores },
             totalSupply = own.sumOf { it.type.cores } + expected.sumOf { it.cores },
             machines = own.size + expected.size,
@@ -207,21 +211,9 @@
         }
     }
 
-    /** The highest demand of the last while, so that a short lull does not give machines back. */
-    private class DemandPeak {
-        val ordinary = Peak()
-        val total = Peak()
-    }
-
-    class Peak {
-        private val values = ArrayDeque<Pair<Long, Double>>()
-
-        fun note(now: Long, value: Double): Double {
-            while (values.isNotEmpty() && values.last().second <= value) values.removeLast()
-            values.addLast(now to value)
-            while (now - values.first().first > PEAK_MS) values.removeFirst()
-            return values.first().second
-        }
+    private class RecentDemand {
+        val ordinary = DemandWindow()
+        val total = DemandWindow()
     }
 
     private companion object {
@@ -233,7 +225,8 @@
         const val SILENT_MS = 4_000L
         const val SLOW_BOOT = 5.0
         const val MIN_BOOT_S = 60.0
-        const val PEAK_MS = 15_000L
+        const val HUNG_REPORTS = 3
+        const val HUNG_MS = 4_500L
         const val KEEP_MS = 30_000L
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -4,30 +4,37 @@
 
 /** One aim on a class of jobs: started or finished this long after the submission, or by so many times the deadline. */
 sealed interface Aim {
-    data class Started(val withinS: Double) : Aim
+    data class Started(val withinS: Double, val share: Double) : Aim
     data class Finished(val withinS: Double) : Aim
     data class Deadline(val times: Double) : Aim
 }
 
 /**
- * The operators' aims by class of job. A job that can meet none of them any more waits behind those that still can:
- * when more is asked than can be done, serving in order of arrival would make every job late.
+ * The operators' aims by class of job. A job waits behind those that have missed fewer of theirs: when more is asked
+ * than can be done, serving in order of arrival would make every job late.
  */
 class Aims(private val byKind: Map<String, List<Aim>>) {
 
-    fun isLate(spec: JobSpec, ageMs: Long): Boolean {
-        val aims = byKind[spec.kind].orEmpty()
+    /** How many of its aims a job of this age has missed, as it still waits. */
+    fun missed(spec: JobSpec, ageMs: Long): Int {
         val ageS = ageMs / 1000.0
-        val ends = aims.mapNotNull { aim ->
-            when (aim) {
+        return byKind[spec.kind].orEmpty().count { aim ->
+            val end = when (aim) {
                 is Aim.Started -> aim.withinS
                 is Aim.Finished -> aim.withinS - spec.estimateS * LIKELY
-                is Aim.Deadline -> spec.dueS?.let { it * aim.times - spec.estimateS * LIKELY }
+                is Aim.Deadline -> spec.dueS?.let { it * aim.times - spec.estimateS * LIKELY } ?: Double.MAX_VALUE
             }
+            ageS > end
         }
-        return ends.isNotEmpty() && ends.all { ageS > it }
     }
 
+    /**
+     * The share of jobs that are to start sooner than a machine boots; for them machines must be there in advance.
+     * Half of them where no such aim is stated.
+     */
+    fun readyShare(bootS: Double): Double =
+        byKind.values.flatten().filterIsInstance<Aim.Started>().filter { it.withinS < bootS }.maxOfOrNull { it.share } ?: 0.5
+
     private companion object {
         /** Owners' estimates are often wrong by half: a job is given up on only when even that would not do. */
         const val LIKELY = 0.6
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -175,6 +175,20 @@
         machineList[machine.index] = null
     }
 
+    /**
+     * Machines that have stopped reporting while most others go on, and that hold tasks or doubts up: a hung machine
+     * is given back, since the cloud's answer settles sooner than its lease what became of its tasks.
+     */
+    fun hung(now: Long, afterMs: Long): List<String> {
+        val talking = machines.filter { !it.silent }
+        val quiet = talking.filter { now - it.answeredMs > afterMs }
+        if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
+        val lively = talking.count { now - it.answeredMs < afterMs / 2 }
+        if (lively * 2 < talking.size) return emptyList()
+        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.filter { machine(it) == null }
+        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + unheard
+    }
+
     private fun forgetAll(machine: Machine) {
         for (attempt in machine.attempts.values.toList()) {
             release(attempt)
@@ -423,8 +437,8 @@
 
     private fun inOrder(now: Long): Comparator<PartJob> {
         val wall = wallOf(now)
-        return compareBy<PartJob> { aims.isLate(it.spec, wall - it.submittedMs) }
-            .thenBy { if (it.spec.dueS != null) it.remainingWork else 0.0 }
+        return compareBy<PartJob> { aims.missed(it.spec, wall - it.submittedMs) }
+            .thenBy { it.remainingWork }
             .thenBy { it.submittedMs }
             .thenBy { it.id }
     }
