--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -1,20 +1,21 @@
 package io.otterknot.cli
 
-import io.ktor.network.selector.SelectorManager
 import io.otterknot.api.UserApi
 import io.otterknot.cloud.CloudClient
-import io.otterknot.config.HostPort
 import io.otterknot.config.Objective
 import io.otterknot.config.Settings
 import io.otterknot.fleet.Fleet
 import io.otterknot.fleet.FleetPolicy
-import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
-import io.otterknot.http.HttpServer
+import io.otterknot.http.Transport
 import io.otterknot.ownership.Ownership
 import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.ownership.Handover
+import io.otterknot.peer.Announcer
+import io.otterknot.peer.IdleParts
+import io.otterknot.peer.PeerMessage
+import io.otterknot.peer.PeerTransport
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Part
@@ -31,7 +32,6 @@
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
 import io.otterknot.wire.JobSpec
-import io.otterknot.wire.MAX_BODY_BYTES
 import io.otterknot.workers.ReportDoor
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -40,10 +40,13 @@
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
+/** How a controller reaches the others and the services; tests give stand-ins. */
+class Links(val state: Transport, val watch: Transport, val cloud: Transport, val peers: Map<String, PeerTransport>)
+
 /** One controller: everything it keeps, and the coroutines that keep it going, all on one thread. */
 class Controller(
     private val settings: Settings,
-    private val selector: SelectorManager,
+    links: Links,
     private val random: Random,
     private val nowMs: () -> Long,
     private val wallMs: () -> Long,
@@ -52,10 +55,8 @@
     private val facts = settings.facts
     private val nodes = maxOf(facts.nodes, settings.members.size + 1)
     private val zones = facts.zones
-    private val stateAddress = HostPort.parse("endpoints.state", settings.endpoints.state)
-
     private val budget = RateBudget(SHARE * facts.state.rps / nodes, SHARE * facts.state.writeRps / nodes, nowMs)
-    private val state = StateClient(HttpClient(selector, stateAddress, keep = 4), HttpClient(selector, stateAddress, keep = 1), budget)
+    private val state = StateClient(links.state, links.watch, budget)
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
     private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(50, 250))
@@ -70,7 +71,7 @@
     )
     private val claimed = ArrayList<Pair<String, Long>>()
     private val cloud = CloudClient(
-        HttpClient(selector, HostPort.parse("endpoints.cloud", settings.endpoints.cloud), keep = 2),
+        links.cloud,
         RateBudget(SHARE * facts.cloud.rps / nodes, 1.0, nowMs),
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
@@ -91,16 +92,13 @@
     )
     private val handover = Handover(state, replica, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
-    private val server = HttpServer(selector, maxOf(32, facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, ::route)
+    private val idleParts = IdleParts(views)
+    private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
 
     /** Runs until cancelled. */
     suspend fun run() = coroutineScope {
         replica.onChange = ::changed
         replica.onBatch = ::takeUpClaims
-        val bind = HostPort.parse("bind", settings.bind)
-        val listening = server.bind(bind.host, bind.port)
-        log.info("{} in {} listens on {}", settings.label, settings.domain, settings.bind)
-        duty("server") { server.serve(this, listening) }
         duty("replica") { replica.follow() }
         duty("barrier") { replica.serveBarrier() }
         duty("lease") { ownership.keepLease() }
@@ -110,6 +108,7 @@
         duty("inspection") { fleet.inspect() }
         duty("records") { keeper.keep() }
         duty("handover") { handover.balance() }
+        duty("announcements") { announcer.announce() }
         duty("sweep") {
             while (true) {
                 delay(SWEEP_MS)
@@ -133,7 +132,10 @@
         }
     }
 
-    private suspend fun route(request: HttpRequest): HttpResponse {
+    fun peer(message: PeerMessage): PeerMessage = idleParts.take(message, nowMs())
+
+    /** Answers a request of a user, a worker or the load balancer. */
+    suspend fun route(request: HttpRequest): HttpResponse {
         val path = request.path
         return when {
             path == "/v1/report" -> method(request, "POST") { door.handle(request.body) }
--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -2,10 +2,18 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.otterknot.config.BadSettings
+import io.otterknot.config.HostPort
 import io.otterknot.config.Settings
 import io.otterknot.config.SettingsFile
+import io.otterknot.http.HttpClient
+import io.otterknot.http.HttpServer
+import io.otterknot.peer.PeerClient
+import io.otterknot.peer.PeerServer
+import io.otterknot.wire.MAX_BODY_BYTES
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
 import picocli.CommandLine
@@ -71,14 +79,31 @@
     return serve(settings)
 }
 
+/** Runs a controller on real sockets until cancelled. */
+internal suspend fun serveOn(selector: SelectorManager, settings: Settings, random: Random): Unit = coroutineScope {
+    val stateAddress = HostPort.parse("endpoints.state", settings.endpoints.state)
+    val links = Links(
+        state = HttpClient(selector, stateAddress, keep = 4),
+        watch = HttpClient(selector, stateAddress, keep = 1),
+        cloud = HttpClient(selector, HostPort.parse("endpoints.cloud", settings.endpoints.cloud), keep = 2),
+        peers = settings.members.associate { it.label to PeerClient(selector, HostPort.parse(it.label, it.endpoint)) },
+    )
+    val controller = Controller(settings, links, random, { System.nanoTime() / 1_000_000 }, System::currentTimeMillis)
+    val server = HttpServer(selector, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
+    val bind = HostPort.parse("bind", settings.bind)
+    val listening = server.bind(bind.host, bind.port)
+    LoggerFactory.getLogger("otterknot").info("{} in {} listens on {}", settings.label, settings.domain, settings.bind)
+    launch { server.serve(this, listening) }
+    launch { PeerServer(selector, controller::peer).serve(this, HostPort.parse("peer_listen", settings.peerListen)) }
+    controller.run()
+}
+
 internal fun serve(settings: Settings, randomSeed: Long = System.nanoTime() xor settings.label.hashCode().toLong()): Int {
     // All decisions are taken on one thread; the selector blocks on its own.
     val loop = Executors.newSingleThreadExecutor { Thread(it, "otterknot") }.asCoroutineDispatcher()
     val selector = SelectorManager(Dispatchers.IO)
     try {
-        runBlocking(loop) {
-            Controller(settings, selector, Random(randomSeed), { System.nanoTime() / 1_000_000 }, System::currentTimeMillis).run()
-        }
+        runBlocking(loop) { serveOn(selector, settings, Random(randomSeed)) }
     } catch (e: java.io.IOException) {
         LoggerFactory.getLogger("otterknot").error("cannot run: {}", e.toString())
         return CommandLine.ExitCode.SOFTWARE
--- a/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
+++ b/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
@@ -79,16 +79,16 @@
         val text = SETTINGS.replace("PORT", port.toString()).replace("bind = \"127.0.0.1:0\"", "bind = \"127.0.0.1:$own\"")
         val work = launch { stub.serve(this, socket) }
         val controller = launch {
-            Controller(SettingsFile.parse(text), selector, Random(1), { System.nanoTime() / 1_000_000 }, System::currentTimeMillis).run()
+            serveOn(selector, SettingsFile.parse(text), Random(1))
         }
         val client = HttpClient(selector, HostPort("127.0.0.1", own))
         repeat(30) { round ->
             delay(50)
-            client.call("GET", "/ready")
-            client.call("POST", "/submissions", JOB.encodeToByteArray())
-            client.call("GET", "/submissions/j-000001")
-            client.call("POST", "/submissions/j-000001/withdraw", ByteArray(0))
-            client.call("POST", "/v1/report", report(round).encodeToByteArray())
+            client.call("GET", "/ready", null, 1_000)
+            client.call("POST", "/submissions", JOB.encodeToByteArray(), 1_000)
+            client.call("GET", "/submissions/j-000001", null, 1_000)
+            client.call("POST", "/submissions/j-000001/withdraw", ByteArray(0), 1_000)
+            client.call("POST", "/v1/report", report(round).encodeToByteArray(), 1_000)
         }
         controller.cancel()
         work.cancel()
--- a/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
+++ b/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
@@ -1,7 +1,7 @@
 package io.otterknot.cloud
 
-import io.otterknot.http.HttpClient
 import io.otterknot.http.Reply
+import io.otterknot.http.Transport
 import io.otterknot.state.RateBudget
 import io.otterknot.wire.ListedMachine
 import io.otterknot.wire.MachineList
@@ -27,11 +27,11 @@
 }
 
 /** The cloud's interface, within this node's share of its limit. */
-class CloudClient(private val http: HttpClient, private val budget: RateBudget) {
+class CloudClient(private val http: Transport, private val budget: RateBudget) {
 
     suspend fun types(): List<MachineType>? {
         budget.take()
-        return decode(MachineTypes.serializer(), http.call("GET", "/flavors", timeoutMs = CALL_MS))?.types
+        return decode(MachineTypes.serializer(), http.call("GET", "/flavors", null, CALL_MS))?.types
     }
 
     suspend fun machines(): List<ListedMachine>? {
@@ -40,7 +40,7 @@
         while (true) {
             budget.take()
             val from = if (after == null) "" else "After=$after&"
-            val page = decode(MachineList.serializer(), http.call("GET", "/machines?${from}Page=500", timeoutMs = CALL_MS)) ?: return null
+            val page = decode(MachineList.serializer(), http.call("GET", "/machines?${from}Page=500", null, CALL_MS)) ?: return null
             all.addAll(page.machines)
             if (!page.more || page.machines.isEmpty()) return all
             after = page.machines.last().id
@@ -50,7 +50,7 @@
     suspend fun rent(request: RentRequest): RentOutcome {
         budget.take()
         val body = WireJson.encodeToString(RentRequest.serializer(), request).encodeToByteArray()
-        return when (val reply = http.call("POST", "/machines", body, timeoutMs = CALL_MS)) {
+        return when (val reply = http.call("POST", "/machines", body, CALL_MS)) {
             is Reply.None -> RentOutcome.Unknown
             is Reply.Answer -> when {
                 reply.status == 200 -> decode(MachineNames.serializer(), reply)?.let { RentOutcome.Rented(it.machines) } ?: RentOutcome.Unknown
@@ -65,7 +65,7 @@
     suspend fun release(machines: List<String>): Boolean {
         budget.take()
         val body = WireJson.encodeToString(MachineNames.serializer(), MachineNames(machines)).encodeToByteArray()
-        val reply = http.call("POST", "/machines/release", body, timeoutMs = CALL_MS)
+        val reply = http.call("POST", "/machines/release", body, CALL_MS)
         return reply is Reply.Answer && reply.status == 200
     }
 
--- a/src/main/kotlin/io/otterknot/http/HttpClient.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpClient.kt
@@ -16,7 +16,7 @@
 import kotlinx.coroutines.withTimeout
 
 /** Requests to one address over a few kept connections, each carrying one request at a time. */
-class HttpClient(private val selector: SelectorManager, private val address: HostPort, private val keep: Int = 3) {
+class HttpClient(private val selector: SelectorManager, private val address: HostPort, private val keep: Int = 3) : Transport {
     private class Connection(val socket: Socket) {
         val input: ByteReadChannel = socket.openReadChannel()
         val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
@@ -24,7 +24,7 @@
 
     private val idle = ArrayDeque<Connection>()
 
-    suspend fun call(method: String, target: String, body: ByteArray? = null, timeoutMs: Long = 2_000): Reply {
+    override suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
         var connection: Connection? = null
         var whole = false
         try {
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -0,0 +1,59 @@
+package io.otterknot.peer
+
+import io.otterknot.wire.Malformed
+import okio.Buffer
+
+/** What controllers tell each other. Each message is answered with [Known]. */
+sealed interface PeerMessage {
+    /** How many parts with idle machines do you know? */
+    data object Ask : PeerMessage
+
+    /** The part of [zone], owned under [token], has so many idle machines. */
+    data class Announce(val zone: String, val token: Long, val idle: Int) : PeerMessage
+
+    /** The part has no idle machine any more. */
+    data class Withdraw(val zone: String, val token: Long) : PeerMessage
+
+    data class Known(val parts: Int) : PeerMessage
+}
+
+/** A frame is a length of four bytes and that many bytes: a kind, then its fields. */
+object PeerCodec {
+    const val MAX_FRAME = 1_024
+
+    fun encode(message: PeerMessage): ByteArray {
+        val body = Buffer()
+        when (message) {
+            PeerMessage.Ask -> body.writeByte(1)
+            is PeerMessage.Announce -> body.writeByte(2).writeName(message.zone).writeLong(message.token).writeInt(message.idle)
+            is PeerMessage.Withdraw -> body.writeByte(3).writeName(message.zone).writeLong(message.token)
+            is PeerMessage.Known -> body.writeByte(4).writeInt(message.parts)
+        }
+        return Buffer().writeInt(body.size.toInt()).also { it.writeAll(body) }.readByteArray()
+    }
+
+    /** Reads the body of one frame; what is not a message is [Malformed]. */
+    fun decode(body: ByteArray): PeerMessage {
+        val buffer = Buffer().write(body)
+        try {
+            val message = when (val kind = buffer.readByte().toInt()) {
+                1 -> PeerMessage.Ask
+                2 -> PeerMessage.Announce(buffer.readName(), buffer.readLong(), buffer.readInt())
+                3 -> PeerMessage.Withdraw(buffer.readName(), buffer.readLong())
+                4 -> PeerMessage.Known(buffer.readInt())
+                else -> throw Malformed("unknown kind of message $kind")
+            }
+            if (!buffer.exhausted()) throw Malformed("bytes after the message")
+            return message
+        } catch (e: java.io.EOFException) {
+            throw Malformed("message cut short")
+        }
+    }
+
+    private fun Buffer.writeName(name: String): Buffer {
+        val bytes = name.encodeToByteArray()
+        return writeShort(bytes.size).write(bytes)
+    }
+
+    private fun Buffer.readName(): String = readUtf8((readShort().toInt() and 0xffff).toLong())
+}
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -1,7 +1,7 @@
 package io.otterknot.state
 
-import io.otterknot.http.HttpClient
 import io.otterknot.http.Reply
+import io.otterknot.http.Transport
 import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import io.otterknot.wire.LeaseGrant
@@ -39,18 +39,18 @@
 }
 
 /** The state service's interface, within this node's share of its limits. */
-class StateClient(private val http: HttpClient, private val watchHttp: HttpClient, val budget: RateBudget) {
+class StateClient(private val http: Transport, private val watchHttp: Transport, val budget: RateBudget) {
 
     suspend fun list(prefix: String, after: String?): StoredPage? {
         budget.take()
         val from = if (after == null) "" else "&After=$after"
-        return decode(StoredPage.serializer(), http.call("GET", "/store?Under=$prefix$from&Page=200", timeoutMs = LIST_MS))
+        return decode(StoredPage.serializer(), http.call("GET", "/store?Under=$prefix$from&Page=200", null, LIST_MS))
     }
 
     /** The revision that the service has reached, read from an absent key; null if it does not say. */
     suspend fun revision(): Long? {
         budget.take()
-        val reply = http.call("GET", "/store/o/none", timeoutMs = READ_MS)
+        val reply = http.call("GET", "/store/o/none", null, READ_MS)
         if (reply !is Reply.Answer || reply.status != 404) return null
         return parse(Revision.serializer(), reply)?.revision
     }
@@ -58,7 +58,7 @@
     /** The caller has taken its place in [budget]. */
     suspend fun txn(guards: List<Guard>, changes: List<Change>): TxnOutcome {
         val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
-        return when (val reply = http.call("POST", "/txn", body, timeoutMs = TXN_MS)) {
+        return when (val reply = http.call("POST", "/txn", body, TXN_MS)) {
             is Reply.None -> TxnOutcome.Unknown(reply.why)
             is Reply.Answer -> when (reply.status) {
                 200 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Applied(it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
@@ -72,12 +72,12 @@
     suspend fun grantLease(ttlMs: Long): Long? {
         budget.takeAtOnce()
         val body = WireJson.encodeToString(LeaseRequest.serializer(), LeaseRequest(ttlMs)).encodeToByteArray()
-        return decode(LeaseGrant.serializer(), http.call("POST", "/holds", body))?.lease
+        return decode(LeaseGrant.serializer(), http.call("POST", "/holds", body, GRANT_MS))?.lease
     }
 
     suspend fun renewLease(lease: Long): RenewOutcome {
         budget.takeAtOnce()
-        val reply = http.call("POST", "/holds/$lease/extend", EMPTY, timeoutMs = RENEW_MS)
+        val reply = http.call("POST", "/holds/$lease/extend", EMPTY, RENEW_MS)
         return when ((reply as? Reply.Answer)?.status) {
             200 -> RenewOutcome.Renewed
             404 -> RenewOutcome.Gone
@@ -87,7 +87,7 @@
 
     suspend fun watch(prefix: String, after: Long, waitMs: Long): WatchOutcome {
         budget.take()
-        val reply = watchHttp.call("GET", "/watch?Under=$prefix&After=$after&WaitMs=$waitMs", timeoutMs = waitMs + WATCH_SLACK_MS)
+        val reply = watchHttp.call("GET", "/watch?Under=$prefix&After=$after&WaitMs=$waitMs", null, waitMs + WATCH_SLACK_MS)
         return when {
             reply is Reply.None -> WatchOutcome.Failed(reply.why)
             reply is Reply.Answer && reply.status == 410 -> WatchOutcome.TooOld
@@ -111,6 +111,7 @@
         const val LIST_MS = 10_000L
         const val READ_MS = 1_500L
         const val TXN_MS = 2_500L
+        const val GRANT_MS = 2_000L
         const val RENEW_MS = 1_500L
         const val WATCH_SLACK_MS = 3_000L
     }
