--- /dev/null
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -0,0 +1,331 @@
+package io.otterknot
+
+import io.otterknot.cli.Controller
+import io.otterknot.cli.Links
+import io.otterknot.config.CloudFacts
+import io.otterknot.config.Endpoints
+import io.otterknot.config.Facts
+import io.otterknot.config.Member
+import io.otterknot.config.Objective
+import io.otterknot.config.Settings
+import io.otterknot.config.StateFacts
+import io.otterknot.config.TeamFacts
+import io.otterknot.config.WorkerFacts
+import io.otterknot.http.HttpRequest
+import io.otterknot.http.HttpResponse
+import io.otterknot.http.Reply
+import io.otterknot.http.Transport
+import io.otterknot.peer.PeerTransport
+import io.otterknot.wire.Command
+import io.otterknot.wire.Commands
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.JobStatus
+import io.otterknot.wire.ListedMachine
+import io.otterknot.wire.MachineList
+import io.otterknot.wire.MachineNames
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.MachineTypes
+import io.otterknot.wire.Priority
+import io.otterknot.wire.Redirect
+import io.otterknot.wire.RentRequest
+import io.otterknot.wire.Report
+import io.otterknot.wire.TaskReport
+import io.otterknot.wire.WireJson
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlin.random.Random
+
+const val LEASE_S = 10.0
+const val CANCEL_S = 35.0
+
+/** Three controllers, their workers, cloud and state service, on virtual time; it watches every rule as it goes. */
+class ClusterStandIn(val scope: CoroutineScope, seed: Long, private val nowMs: () -> Long, teamLimit: Double = 0.0) {
+    val random = Random(seed)
+    val zones = listOf("a", "b", "c")
+    val state = StateStandIn(scope, random, nowMs)
+    val broken = ArrayList<String>()
+    var starts = 0
+    private val types = listOf(MachineType("big", 8.0, 0.0, 64.0, 20.0, 1.0, 1.0, 0.4, 3.0, zones))
+    private val limits = mapOf("red" to teamLimit, "blue" to 0.0)
+    private val running = HashMap<String, Job>()
+    private val controllers = HashMap<String, Controller>()
+    private val workers = LinkedHashMap<String, Worker>()
+    private val bids = HashMap<String, List<String>>()
+    private val specs = HashMap<String, JobSpec>()
+    private val cancelledAt = HashMap<String, Long>()
+    private val told = HashMap<String, String>()
+    private val completed = HashSet<String>()
+    private var lastMachine = 0
+    val nodes = zones.map { "holt-$it" }
+
+    /** Nodes whose packets to and from workers are held back. */
+    val cutNodes = HashSet<String>()
+
+    fun startNode(label: String) {
+        val facts = Facts(
+            nodes = 3, zones = zones, teams = limits.map { TeamFacts(it.key, cpusMax = it.value) },
+            objectives = listOf(Objective("wait", "urgent", 8.0, 0.9)),
+            workers = WorkerFacts(0.8, LEASE_S, CANCEL_S), state = StateFacts(600.0, 300.0, 8.0, 40), cloud = CloudFacts(30.0, 1.0),
+        )
+        val members = nodes.filter { it != label }.map { Member(it, it.removePrefix("holt-"), "127.0.0.1:1") }
+        val settings = Settings(label, label.removePrefix("holt-"), "127.0.0.1:1", "127.0.0.1:2", members, Endpoints("127.0.0.1:3", "127.0.0.1:4"), facts)
+        val link = state.link(label)
+        val peers = members.associate { member ->
+            member.label to PeerTransport { message -> controllers[member.label]?.peer(message) }
+        }
+        val controller = Controller(settings, Links(link, link, cloud, peers), Random(random.nextLong()), nowMs, nowMs)
+        running[label] = scope.launch {
+            controllers[label] = controller
+            controller.run()
+        }
+    }
+
+    fun crash(label: String) {
+        running.remove(label)?.cancel()
+        controllers.remove(label)
+    }
+
+    private suspend fun ask(label: String, method: String, path: String, body: ByteArray, limitMs: Long): HttpResponse? {
+        val controller = controllers[label] ?: return null
+        delay(1 + random.nextLong(5))
+        val answer = withTimeoutOrNull(limitMs) { controller.route(HttpRequest(method, path, body)) }
+        return answer.takeIf { controllers[label] === controller }
+    }
+
+    // ---- users
+
+    fun spec(id: Int, tasks: Int, runS: Double = 4.0, kind: String = "urgent", priority: Priority = Priority.HIGH, spot: Boolean = true, cores: Double = 2.0) =
+        JobSpec(
+            id = "j-%06d".format(id), kind = kind, team = if (id % 2 == 0) "red" else "blue", priority = priority, tasks = tasks,
+            cores = cores, memoryGb = 4.0, image = "img", imageGb = 0.5, spot = spot, estimateS = runS, spread = id % 5 == 0, oneZone = id % 7 == 0,
+        )
+
+    fun body(spec: JobSpec): ByteArray {
+        val plain = WireJson.encodeToJsonElement(JobSpec.serializer(), spec)
+        val fields = buildJsonObject {
+            (plain as kotlinx.serialization.json.JsonObject).forEach { (key, value) -> put(key, value) }
+            put("Sort", "sweep")
+        }
+        return fields.toString().encodeToByteArray()
+    }
+
+    /** Submits until some node accepts, then polls until the end; a cancelled one is withdrawn after a while. */
+    fun user(spec: JobSpec, cancelAfterMs: Long? = null) = scope.launch {
+        specs[spec.id] = spec
+        while (true) {
+            val response = ask(nodes.random(random), "POST", "/submissions", body(spec), 5_000)
+            if (response != null && response.status in 200..201) break
+            if (response != null && response.status in listOf(400, 422)) broken.add("forgotten: ${spec.id} refused with ${response.status}")
+            delay(1_000)
+        }
+        val accepted = nowMs()
+        var asked = false
+        while (true) {
+            delay(500 + random.nextLong(2_000))
+            val withdraw = cancelAfterMs != null && (asked || nowMs() - accepted > cancelAfterMs) && spec.id !in cancelledAt
+            asked = asked || withdraw
+            val node = nodes.random(random)
+            val response = if (withdraw) ask(node, "POST", "/submissions/${spec.id}/withdraw", ByteArray(0), 2_000) else ask(node, "GET", "/submissions/${spec.id}", ByteArray(0), 2_000)
+            if (response == null || response.status == 503) continue
+            if (response.status != 200) {
+                broken.add("forgotten: ${spec.id} got ${response.status}")
+                continue
+            }
+            val mood = WireJson.decodeFromString(JobStatus.serializer(), response.body.decodeToString()).state
+            check(spec, mood, asked)
+        }
+    }
+
+    private fun check(spec: JobSpec, mood: String, asked: Boolean) {
+        val before = told[spec.id]
+        if (before in listOf("done", "aborted") && before != mood) broken.add("went_back: ${spec.id} $before -> $mood")
+        if (mood == "aborted") {
+            if (!asked) broken.add("went_back: ${spec.id} cancelled by nobody")
+            cancelledAt.putIfAbsent(spec.id, nowMs())
+        }
+        if (mood == "done" && (0 until spec.tasks).any { "${spec.id}/$it" !in completed }) broken.add("not_done: ${spec.id}")
+        told[spec.id] = mood
+    }
+
+    suspend fun stranger(id: String) {
+        val response = ask(nodes.random(random), "GET", "/submissions/$id", ByteArray(0), 2_000)
+        if (response?.status == 200) broken.add("invented: $id")
+    }
+
+    fun allOver(): Boolean = specs.isNotEmpty() && specs.keys.all { told[it] == "done" || told[it] == "aborted" }
+
+    fun open(): List<String> = specs.keys.filter { told[it] != "done" && told[it] != "aborted" }
+
+    // ---- cloud
+
+    private val cloud = Transport { method, target, body, _ ->
+        delay(40)
+        val text = body?.decodeToString().orEmpty()
+        when {
+            target == "/flavors" -> ok(WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(types)))
+            target.startsWith("/machines/release") -> {
+                WireJson.decodeFromString(MachineNames.serializer(), text).machines.forEach { workers.remove(it)?.end() }
+                ok("{}")
+            }
+            method == "GET" -> ok(
+                WireJson.encodeToString(
+                    MachineList.serializer(),
+                    MachineList(workers.values.filter { nowMs() - it.bornMs > 2_000 }.map { ListedMachine(it.id, null, "big", it.zone, it.spot, "running", (nowMs() - it.bornMs) / 1000.0) }),
+                ),
+            )
+            else -> {
+                val request = WireJson.decodeFromString(RentRequest.serializer(), text)
+                val names = bids.getOrPut(request.request) {
+                    val room = 4 - workers.values.count { it.zone == request.zone && it.spot == request.spot }
+                    List(minOf(room, request.count).coerceAtLeast(0)) { boot(request.zone, request.spot).id }
+                }
+                if (names.isEmpty()) {
+                    bids.remove(request.request)
+                    Reply.Answer(503, """{"error":"no capacity"}""".encodeToByteArray())
+                } else {
+                    ok(WireJson.encodeToString(MachineNames.serializer(), MachineNames(names)))
+                }
+            }
+        }
+    }
+
+    private fun ok(text: String): Reply = Reply.Answer(200, text.encodeToByteArray())
+
+    fun boot(zone: String, spot: Boolean): Worker =
+        Worker("m-%06d".format(++lastMachine), zone, spot).also { workers[it.id] = it }
+
+    fun machines(): List<Worker> = workers.values.toList()
+
+    // ---- workers
+
+    private class Held(val job: String, val attempt: Long, var state: String, var cause: String?, var doneMs: Long)
+
+    inner class Worker(val id: String, val zone: String, val spot: Boolean) {
+        val bornMs = nowMs()
+        private var session = 1L
+        private var seq = 0L
+        private var token = 0L
+        private var answeredMs = bornMs
+        private var node = nodes.random(random)
+        private val tasks = LinkedHashMap<String, Held>()
+        var hungUntilMs = 0L
+        var faulty = false
+        private val loop = scope.launch {
+            delay(1_000 + random.nextLong(4_000))
+            answeredMs = nowMs()
+            while (true) turn()
+        }
+
+        fun end() {
+            tasks.clear()
+            loop.cancel()
+        }
+
+        /** Tasks that are on this machine: they have their image and have not exited. */
+        fun holding(): Map<String, Pair<String, Long>> {
+            expire()
+            return tasks.filterValues { it.state == "running" }.entries.associate { it.key.substringBeforeLast('#') to (it.value.job to it.value.attempt) }
+        }
+
+        /** The lease runs out on a hanging machine too. */
+        private fun expire() {
+            if (nowMs() - answeredMs > LEASE_S * 1000) {
+                tasks.clear()
+                session++
+                answeredMs = nowMs()
+            }
+        }
+
+        private fun advance() {
+            if (nowMs() < hungUntilMs) return
+            expire()
+            for ((key, held) in tasks) {
+                val name = key.substringBeforeLast('#')
+                val spec = specs.getValue(held.job)
+                if (held.state == "fetching" && nowMs() > held.doneMs) {
+                    starting(name, spec)
+                    held.state = "running"
+                    held.doneMs = nowMs() + (spec.estimateS * 1000).toLong()
+                } else if (held.state == "running" && nowMs() > held.doneMs) {
+                    held.state = "exited"
+                    held.cause = "done"
+                    completed.add(name)
+                }
+            }
+        }
+
+        private fun starting(name: String, spec: JobSpec) {
+            starts++
+            val elsewhere = workers.values.filter { it !== this && name in it.holding() }
+            if (elsewhere.isNotEmpty()) broken.add("ran_twice: $name on $id and ${elsewhere.map { it.id }}")
+            if (spot && !spec.spot) broken.add("wrong_place: $name on spot machine $id")
+            val sameJob = workers.values.flatMap { worker -> worker.holding().values.filter { it.first == spec.id }.map { worker.zone } }
+            if (spec.oneZone && sameJob.any { it != zone }) broken.add("wrong_place: $name in $zone, others in $sameJob")
+            if (spec.spread && sameJob.count { it == zone } + 1 > spec.perZoneLimit) broken.add("wrong_place: too many of ${spec.id} in $zone")
+            cancelledAt[spec.id]?.let { if (nowMs() - it > CANCEL_S * 1000) broken.add("ran_cancelled: $name starts") }
+            val limit = limits.getValue(spec.team)
+            val used = workers.values.flatMap { it.holding().values }.map { specs.getValue(it.first) }.filter { it.team == spec.team }.sumOf { it.cores }
+            if (limit > 0 && used + spec.cores > limit + 1e-6) broken.add("quota: ${spec.team} uses ${used + spec.cores}")
+        }
+
+        private suspend fun turn() {
+            delay(500 + random.nextLong(600))
+            if (nowMs() < hungUntilMs) return
+            advance()
+            val report = Report(
+                id, "x", "big", zone, spot, session, ++seq, token, null,
+                tasks.entries.map { TaskReport(it.key.substringBeforeLast('#'), it.value.attempt, it.value.state, it.value.cause) },
+            )
+            val sent = nowMs()
+            val response = if (node in cutNodes) { delay(4_000); null } else ask(node, "POST", "/v1/report", WireJson.encodeToString(Report.serializer(), report).encodeToByteArray(), 4_000)
+            if (nowMs() < hungUntilMs) delay(hungUntilMs - nowMs())
+            if (response?.status == 200) {
+                advance()
+                if (report.session != session) return
+                val commands = WireJson.decodeFromString(Commands.serializer(), response.body.decodeToString())
+                if (commands.token < token) return
+                token = commands.token
+                answeredMs = sent
+                commands.commands.forEach(::execute)
+            } else {
+                val to = if (response?.status == 421) WireJson.decodeFromString(Redirect.serializer(), response.body.decodeToString()).reportTo else null
+                if (to == null || to == node) delay(1_000)
+                node = to ?: nodes[(nodes.indexOf(node) + 1) % nodes.size]
+            }
+        }
+
+        private fun execute(command: Command) {
+            val key = "${command.task}#${command.attempt}"
+            when (command.op) {
+                "start" -> if (key !in tasks) {
+                    val job = command.task.substringBefore('/')
+                    val cores = tasks.values.filter { it.state != "exited" }.sumOf { specs.getValue(it.job).cores }
+                    val cause = when {
+                        tasks.any { it.key.substringBeforeLast('#') == command.task && it.value.state != "exited" } -> "busy"
+                        cores + specs.getValue(job).cores > 8.0 -> "no_room"
+                        faulty -> "error"
+                        else -> null
+                    }
+                    tasks[key] = Held(job, command.attempt, if (cause == null) "fetching" else "exited", cause, nowMs() + 500)
+                }
+                "halt" -> tasks[key]?.let { if (it.state != "exited") { it.state = "exited"; it.cause = "stopped" } }
+                "forget" -> if (tasks[key]?.state == "exited") tasks.remove(key)
+            }
+        }
+    }
+
+    /** Looks for cancelled work that is still on a machine. */
+    fun inspect() {
+        for (worker in workers.values) {
+            for ((name, held) in worker.holding()) {
+                val at = cancelledAt[held.first] ?: continue
+                if (nowMs() - at > CANCEL_S * 1000) broken.add("ran_cancelled: $name on ${worker.id}")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -0,0 +1,155 @@
+package io.otterknot
+
+import io.otterknot.wire.Priority
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import kotlin.time.Duration.Companion.minutes
+
+/** The whole service under one kind of trouble each, with every rule watched. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class ClusterTest {
+    class Case(val name: String, val teamLimit: Double = 0.0, val trouble: suspend ClusterStandIn.() -> Unit) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("cases")
+    fun `no rule breaks and every job ends`(case: Case) = runTest(timeout = 3.minutes) {
+        for (seed in 1L..2L) coroutineScope {
+            val started = testScheduler.currentTime
+            val cluster = ClusterStandIn(this, seed, { testScheduler.currentTime }, case.teamLimit)
+            cluster.zones.forEach { zone -> repeat(2) { cluster.boot(zone, spot = it == 1) } }
+            cluster.nodes.forEach(cluster::startNode)
+            launch {
+                while (true) {
+                    delay(1_000)
+                    cluster.inspect()
+                    cluster.stranger("j-%06d".format(900_000 + cluster.random.nextInt(1000)))
+                }
+            }
+            launch {
+                for (id in 1..14) {
+                    delay(cluster.random.nextLong(3_000))
+                    val low = id % 3 == 0
+                    val spec = cluster.spec(
+                        id, 1 + cluster.random.nextInt(12), 2.0 + cluster.random.nextInt(10), if (low) "bulk" else "urgent",
+                        if (low) Priority.BEST_EFFORT else Priority.HIGH, spot = id % 4 != 0, cores = if (low) 1.0 else 2.0,
+                    )
+                    cluster.user(spec, if (id % 6 == 5) 4_000 else null)
+                }
+            }
+            delay(12_000)
+            case.trouble(cluster)
+            var waited = 0
+            while (!cluster.allOver() && waited++ < 400) delay(1_000)
+            delay(CANCEL_S.toLong() * 1000 + 2_000)
+            assertEquals(emptyList<String>(), cluster.broken, "seed $seed")
+            assertEquals(emptyList<String>(), cluster.open(), "jobs that did not end with seed $seed after ${testScheduler.currentTime - started} ms")
+            assertTrue(cluster.starts > 0, "nothing_ran")
+            currentCoroutineContext().cancelChildren()
+        }
+    }
+
+    companion object {
+        @JvmStatic
+        fun cases() = listOf(
+            Case("quiet") { },
+            Case("a team at its limit", teamLimit = 12.0) { },
+            Case("one controller crashes and comes back") {
+                crash("holt-a")
+                delay(6_000)
+                startNode("holt-a")
+            },
+            Case("one controller crashes and comes back at once, again and again") {
+                repeat(4) {
+                    crash("holt-b")
+                    delay(200)
+                    startNode("holt-b")
+                    delay(3_000)
+                }
+            },
+            Case("all controllers crash") {
+                nodes.forEach(::crash)
+                delay(5_000)
+                nodes.forEach(::startNode)
+            },
+            Case("one controller stays away") {
+                crash("holt-c")
+                delay(60_000)
+                startNode("holt-c")
+            },
+            Case("controllers are restarted one after the other") {
+                for (node in nodes) {
+                    crash(node)
+                    delay(4_000)
+                    startNode(node)
+                    delay(8_000)
+                }
+            },
+            Case("the state service is down") {
+                state.outage(true)
+                delay(20_000)
+                state.outage(false)
+            },
+            Case("the state service is down for longer than any lease, and all restart meanwhile") {
+                state.outage(true)
+                delay(20_000)
+                nodes.forEach(::crash)
+                delay(10_000)
+                nodes.forEach(::startNode)
+                delay(10_000)
+                state.outage(false)
+            },
+            Case("one controller alone is refused by the state service") {
+                state.refusedFor = "holt-a"
+                delay(60_000)
+                state.refusedFor = null
+            },
+            Case("answers to transactions are lost and some are applied late") {
+                state.lossy = 0.3
+                delay(40_000)
+                state.lossy = 0.0
+            },
+            Case("late transactions while controllers restart") {
+                state.lossy = 0.2
+                repeat(3) {
+                    crash(nodes[it])
+                    delay(2_000)
+                    startNode(nodes[it])
+                    delay(6_000)
+                }
+                state.lossy = 0.0
+            },
+            Case("machines hang and go on within their lease, and after it") {
+                machines().forEachIndexed { index, worker -> worker.hungUntilMs = machines().first().bornMs + 12_000 + 5_000L * (index % 5) }
+                delay(20_000)
+            },
+            Case("machines hang while their controller restarts") {
+                machines().filter { it.zone == "a" }.forEach { it.hungUntilMs = it.bornMs + 30_000 }
+                crash("holt-a")
+                delay(1_000)
+                startNode("holt-a")
+                delay(10_000)
+            },
+            Case("machines fail every task") {
+                machines().take(2).forEach { it.faulty = true }
+                delay(20_000)
+            },
+            Case("a controller is cut off from the workers") {
+                cutNodes.add("holt-b")
+                delay(30_000)
+                cutNodes.clear()
+            },
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -0,0 +1,138 @@
+package io.otterknot
+
+import io.otterknot.config.BadSettings
+import io.otterknot.config.SettingsFile
+import io.otterknot.ownership.Fence
+import io.otterknot.ownership.claimRank
+import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.state.RateBudget
+import io.otterknot.state.TaskBits
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.util.BitSet
+
+class OwnershipTest {
+    /** The fence ends before the lease can, whatever the clocks' drift, counted from the sending of the renewal. */
+    @Test
+    fun `the fence ends before the lease`() {
+        val fence = Fence(20_000)
+        assertTrue(!fence.holds(0))
+        fence.renewed(1_000)
+        assertTrue(fence.holds(20_000))
+        assertTrue(!fence.holds(20_900))
+        fence.renewed(500)
+        assertTrue(fence.holds(20_000), "an older renewal takes nothing back")
+        fence.lost()
+        assertTrue(!fence.holds(1_001))
+    }
+
+    @ParameterizedTest
+    @CsvSource("10,35", "14,34", "5,60", "20,25")
+    fun `a cut-off owner and its workers stop before a cancelled task must be gone`(leaseS: Double, cancelS: Double) {
+        val ttl = leaseTtlMs(leaseS, cancelS)
+        assertTrue(ttl >= 2_000 && ttl + leaseS * 1000 < cancelS * 1000, "$ttl")
+    }
+
+    @Test
+    fun `each part has one first claimant, its own zone's node if there is one`() {
+        val domains = mapOf("n0" to "a", "n1" to "b", "n2" to "c")
+        val zones = listOf("a", "b", "c", "d")
+        for (zone in zones) assertEquals(listOf(0, 1, 2), domains.keys.map { claimRank(zone, zones, it, domains) }.sorted())
+        assertEquals(0, claimRank("b", zones, "n1", domains))
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `the budget spreads requests over time and refuses instead of waiting long`() = runTest {
+        val budget = RateBudget(10.0, 5.0) { testScheduler.currentTime }
+        repeat(40) { budget.take() }
+        assertTrue(currentTime in 3_000..3_500, "$currentTime")
+        repeat(4) { budget.take(1) }
+        assertTrue(!budget.tryTake(5, 200))
+        assertTrue(budget.tryTake(1, 2_000))
+    }
+
+    @Test
+    fun `sets of tasks are kept in chunks`() {
+        val bits = BitSet().also { it.set(3); it.set(TaskBits.CHUNK - 1); it.set(TaskBits.CHUNK + 5) }
+        val read = BitSet()
+        for (chunk in 0..1) TaskBits.decodeInto(TaskBits.encode(bits, chunk), chunk, read)
+        assertEquals(bits, read)
+    }
+
+    private val good = """
+        label = "n0"
+        domain = "a"
+        bind = "127.0.0.1:8080"
+        peer_listen = "127.0.0.1:8081"
+        novelty = 3
+
+        [[members]]
+        label = "n1"
+        domain = "b"
+        endpoint = "127.0.0.1:8082"
+
+        [endpoints]
+        cloud = "127.0.0.1:1"
+        state = "127.0.0.1:2"
+
+        [facts]
+        nodes = 2
+        zones = ["a", "b"]
+
+        [[facts.teams]]
+        name = "t"
+        cpus = 0.0
+        cpus_max = 8.0
+
+        [facts.workers]
+        report_s = 0.8
+        lease_s = 10.0
+        cancel_s = 35.0
+
+        [facts.state]
+        rps = 150.0
+        write_rps = 50.0
+        value_kb = 8.0
+        txn_ops = 40
+
+        [facts.cloud]
+        rps = 3.0
+        list_lag_s = 4.0
+    """.trimIndent()
+
+    @Test
+    fun `settings are read, unknown fields ignored`() {
+        val settings = SettingsFile.parse(good)
+        assertEquals(listOf("a", "b"), settings.facts.zones)
+        assertEquals(8.0, settings.facts.teams.single().cpusMax)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "label = \"n0\"|",
+            "bind = \"127.0.0.1:8080\"|bind = \"nowhere\"",
+            "zones = [\"a\", \"b\"]|zones = []",
+            "cancel_s = 35.0|cancel_s = 12.0",
+            "rps = 150.0|rps = 0.0",
+            "txn_ops = 40|txn_ops = \"many\"",
+            "endpoint = \"127.0.0.1:8082\"|endpoint = \"127.0.0.1:x\"",
+            "[endpoints]|[elsewhere]",
+        ],
+    )
+    fun `a bad setting stops the start with one line`(from: String, to: String?) {
+        val bad = good.replace(from, to.orEmpty())
+        assertTrue(bad != good)
+        val refused = assertThrows(BadSettings::class.java) { SettingsFile.parse(bad) }
+        assertEquals(1, refused.message!!.lines().size)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -0,0 +1,133 @@
+package io.otterknot
+
+import io.otterknot.fleet.DemandWindow
+import io.otterknot.fleet.FleetPolicy
+import io.otterknot.fleet.FleetView
+import io.otterknot.placement.Aim
+import io.otterknot.placement.Aims
+import io.otterknot.placement.PartChooser
+import io.otterknot.placement.PartView
+import io.otterknot.placement.Place
+import io.otterknot.placement.Saqr
+import io.otterknot.state.Span
+import io.otterknot.state.Spans
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.util.BitSet
+import kotlin.random.Random
+
+class PlacementTest {
+    private fun place(load: Double, drift: Double, idle: Boolean = false) = Place().also {
+        it.load = load
+        it.drift = drift
+        it.idle = idle
+    }
+
+    /** Two places: load and drift of each, the share of the task; who takes it, and load and drift of the taker after. */
+    @ParameterizedTest
+    @CsvSource(
+        // The lighter one's drift is below the load gap: it wins and only its drift grows.
+        "0.2,0.0, 0.6,0.0, 0.25, 1, 0.2, 0.25",
+        "0.6,0.0, 0.2,0.3, 0.25, 2, 0.2, 0.55",
+        // The drift has eaten the gap: the lower sum wins, is stored with the share, and its drift ends.
+        "0.2,0.5, 0.6,0.0, 0.25, 2, 0.85, 0.0",
+        "0.5,0.1, 0.5,0.0, 0.25, 2, 0.75, 0.0",
+        "0.3,0.2, 0.4,0.3, 0.10, 1, 0.6, 0.0",
+    )
+    fun `two samples are weighed by load and drift`(l1: Double, d1: Double, l2: Double, d2: Double, share: Double, taker: Int, load: Double, drift: Double) {
+        for (seed in 1L..8L) {
+            val places = listOf(place(l1, d1), place(l2, d2))
+            val taken = Saqr.choose(places, Random(seed), { share }, { false })
+            assertEquals(places[taker - 1], taken)
+            assertEquals(load, taken!!.load, 1e-9)
+            assertEquals(drift, taken.drift, 1e-9)
+        }
+    }
+
+    @Test
+    fun `an idle place comes first, one fit is taken, none waits`() {
+        val idle = place(0.0, 0.0, idle = true)
+        assertEquals(idle, Saqr.choose(listOf(place(0.0, 0.0), idle, place(0.1, 0.0)), Random(1), { 0.5 }, { false }))
+        assertEquals(false, idle.idle)
+        assertEquals(0.5, idle.load)
+        val only = place(0.9, 0.05)
+        assertEquals(only, Saqr.choose(listOf(only), Random(1), { 0.05 }, { false }))
+        assertEquals(null, Saqr.choose(emptyList<Place>(), Random(1), { 0.1 }, { true }))
+        only.reported(0.4, false)
+        assertEquals(listOf(0.4, 0.0), listOf(only.load, only.drift))
+    }
+
+    private fun spec(tasks: Int, oneZone: Boolean = false, zone: String? = null, spot: Boolean = true) =
+        JobSpec("j-000001", "k", "t", Priority.HIGH, tasks, 2.0, 0.0, 4.0, "i", 1.0, null, zone, oneZone, false, spot, 10.0, dueS = 60.0)
+
+    private fun views(vararg means: Double) = means.mapIndexed { index, mean ->
+        PartView("z$index").also {
+            it.mean = mean
+            it.cores = 64.0
+        }
+    }
+
+    @Test
+    fun `parts are chosen like machines`() {
+        val announced = views(0.9, 0.1, 0.1).also { it[0].idleMachines = 1 }
+        assertEquals("z0", PartChooser.choose(announced, spec(1), Random(3)).zone)
+        assertEquals(0, announced[0].idleMachines)
+        repeat(20) { assertEquals("z1", PartChooser.choose(views(0.9, 0.1), spec(1), Random(it)).zone) }
+        val spans = PartChooser.deal(spec(300), views(0.0, 0.0, 0.0), Random(5))
+        assertEquals(300, spans.sumOf { it.until - it.from })
+        assertTrue(spans.size == 3 && spans.all { it.until - it.from in 60..140 }, "$spans")
+        assertEquals(1, PartChooser.deal(spec(30, oneZone = true), views(0.0, 0.0), Random(1)).size)
+        assertEquals(listOf(Span("z1", 0, 30)), PartChooser.deal(spec(30, zone = "z1"), views(0.0, 0.0), Random(1)))
+    }
+
+    @Test
+    fun `moved tasks change hands and nothing else does`() {
+        val tasks = BitSet().also { it.set(2, 4); it.set(7) }
+        val before = listOf(Span("a", 0, 5), Span("b", 5, 9))
+        val after = Spans.move(before, tasks, "c")
+        assertEquals(listOf(Span("a", 0, 2), Span("c", 2, 4), Span("a", 4, 5), Span("b", 5, 7), Span("c", 7, 8), Span("b", 8, 9)), after)
+        assertEquals(listOf(Span("a", 0, 9)), Spans.move(after, BitSet().also { it.set(0, 9) }, "a"))
+    }
+
+    @ParameterizedTest
+    @CsvSource("1,0", "9,1", "25,2", "53,2", "56,4", "70,4", "95,5")
+    fun `missed aims are counted by age`(ageS: Long, missed: Int) {
+        val aims = Aims(mapOf("k" to listOf(Aim.Started(8.0, 0.9), Aim.Started(20.0, 0.9), Aim.Finished(60.0), Aim.Deadline(1.0), Aim.Deadline(1.5))))
+        assertEquals(missed, aims.missed(spec(1), ageS * 1000))
+        assertEquals(0, aims.missed(spec(1).copy(kind = "other"), 1_000_000))
+        assertEquals(0.9, aims.readyShare(30.0))
+        assertEquals(0.5, aims.readyShare(5.0))
+    }
+
+    @Test
+    fun `the fleet covers what was asked for most of the time`() {
+        val window = DemandWindow(spanMs = 20_000, stepMs = 1_000)
+        var at = 0L
+        for (value in listOf(100.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0)) window.note(at.also { at += 1_000 }, value, 0.5)
+        assertEquals(10.0, window.note(at, 5.0, 0.5))
+        assertEquals(100.0, window.note(at, 5.0, 1.0))
+        assertEquals(150.0, window.note(at, 150.0, 0.5))
+    }
+
+    @Test
+    fun `spot for what may use it, ordinary for what may not, dear ones only when the cheap are out`() {
+        val types = listOf(
+            MachineType("slow", 32.0, 0.0, 64.0, price = 2.0, spotPrice = 0.7, bootS = 40.0, zones = listOf("a")),
+            MachineType("fast", 16.0, 0.0, 64.0, price = 1.2, spotPrice = 0.4, bootS = 15.0, zones = listOf("a")),
+        )
+        val policy = FleetPolicy(10)
+        val rents = policy.rent(FleetView(20.0, 100.0, 0.0, 0.0, 0), types, "a") { false }
+        assertEquals(listOf("fast" to false, "slow" to true), rents.map { it.kind.type to it.kind.spot })
+        assertEquals(listOf(2, 3), rents.map { it.count })
+        assertEquals(emptyList<Any>(), policy.rent(FleetView(0.0, 100.0, 0.0, 0.0, 10), types, "a") { false })
+        assertEquals(listOf("slow" to false), policy.rent(FleetView(0.0, 30.0, 0.0, 0.0, 0), types, "a") { it.spot }.map { it.kind.type to it.kind.spot })
+        assertTrue(policy.spares(FleetView(10.0, 40.0, 32.0, 96.0, 5), spot = true, cores = 32.0))
+        assertTrue(!policy.spares(FleetView(30.0, 40.0, 32.0, 96.0, 5), spot = false, cores = 16.0))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/StateStandIn.kt
@@ -0,0 +1,136 @@
+package io.otterknot
+
+import io.otterknot.http.Reply
+import io.otterknot.http.Transport
+import io.otterknot.wire.Change
+import io.otterknot.wire.LeaseRequest
+import io.otterknot.wire.StoredPage
+import io.otterknot.wire.StoredValue
+import io.otterknot.wire.Txn
+import io.otterknot.wire.WatchEvents
+import io.otterknot.wire.WireJson
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonElement
+import java.util.TreeMap
+import kotlin.random.Random
+
+/** A state service in memory, on virtual time, that can be away, lose answers and apply transactions late. */
+class StateStandIn(private val scope: CoroutineScope, private val random: Random, private val nowMs: () -> Long) {
+    private class Kept(val value: JsonElement, val version: Long, val lease: Long?)
+    private class Lease(val ttlMs: Long, var endsMs: Long)
+
+    private val data = TreeMap<String, Kept>()
+    private val leases = HashMap<Long, Lease>()
+    private val log = ArrayList<Change>()
+    private var nextLease = 1L
+    var revision = 0L
+        private set
+    private var away = false
+
+    /** One node for which every request is refused. */
+    var refusedFor: String? = null
+
+    /** Share of transactions whose answer is lost, half of them applied up to some seconds later. */
+    var lossy = 0.0
+
+    fun outage(on: Boolean) {
+        away = on
+        // After an outage every lease has its full time again.
+        if (!on) leases.values.forEach { it.endsMs = nowMs() + it.ttlMs }
+    }
+
+    fun value(key: String): JsonElement? = data[key]?.value
+
+    fun link(node: String) = Transport { method, target, body, timeoutMs ->
+        delay(2 + random.nextLong(6))
+        serve(node, method, target, body, timeoutMs)
+    }
+
+    private suspend fun serve(node: String, method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
+        if (away || refusedFor == node) return answer(503, """{"error":"trouble"}""")
+        expire()
+        val path = target.substringBefore('?')
+        val query = target.substringAfter('?', "").split('&').filter { '=' in it }.associate { it.substringBefore('=') to it.substringAfter('=') }
+        return when {
+            path == "/txn" -> {
+                val txn = WireJson.decodeFromString(Txn.serializer(), body!!.decodeToString())
+                if (random.nextDouble() < lossy) {
+                    if (random.nextBoolean()) {
+                        scope.launch {
+                            delay(random.nextLong(8_000))
+                            if (!away) commit(txn)
+                        }
+                    }
+                    delay(timeoutMs)
+                    return Reply.None("lost")
+                }
+                commit(txn)
+            }
+            path == "/holds" -> {
+                val ttl = WireJson.decodeFromString(LeaseRequest.serializer(), body!!.decodeToString()).ttlMs
+                val id = nextLease++
+                leases[id] = Lease(ttl, nowMs() + ttl)
+                answer(200, """{"Tenure":$id}""")
+            }
+            path.startsWith("/holds/") -> {
+                val lease = leases[path.removePrefix("/holds/").removeSuffix("/extend").toLong()] ?: return answer(404, "{}")
+                lease.endsMs = nowMs() + lease.ttlMs
+                answer(200, "{}")
+            }
+            path == "/watch" -> watch(query.getValue("Under"), query.getValue("After").toLong(), query.getValue("WaitMs").toLong())
+            path == "/store" -> {
+                val under = query.getValue("Under")
+                val items = data.tailMap(query["After"] ?: under, query["After"] == null).entries.takeWhile { it.key.startsWith(under) }
+                val page = items.take(query.getValue("Page").toInt()).map { StoredValue(it.key, it.value.value, it.value.version) }
+                answer(200, WireJson.encodeToString(StoredPage.serializer(), StoredPage(page, page.size < items.size, revision)))
+            }
+            else -> answer(404, """{"Tide":$revision}""")
+        }
+    }
+
+    private suspend fun watch(under: String, after: Long, waitMs: Long): Reply {
+        val until = nowMs() + waitMs
+        while (true) {
+            expire()
+            val news = if (away) emptyList() else log.filter { it.version!! > after && it.key.startsWith(under) }
+            if (news.isNotEmpty() || nowMs() >= until && !away) {
+                return answer(200, WireJson.encodeToString(WatchEvents.serializer(), WatchEvents(revision, news)))
+            }
+            delay(10)
+        }
+    }
+
+    private fun commit(txn: Txn): Reply {
+        expire()
+        if (txn.changes.any { it.put != null && it.lease != null && it.lease !in leases }) return answer(400, """{"error":"no such lease"}""")
+        val failed = txn.guards.filter { (data[it.key]?.version ?: 0) != it.version }.map { it.key }
+        if (failed.isNotEmpty()) return answer(409, """{"failed":[${failed.joinToString(",") { "\"$it\"" }}],"Tide":$revision}""")
+        revision++
+        for (change in txn.changes) {
+            val put = change.put
+            if (put != null) {
+                data[put] = Kept(change.value!!, revision, change.lease)
+                log.add(Change(put = put, value = change.value, version = revision))
+            } else if (data.remove(change.key) != null) {
+                log.add(Change(remove = change.key, version = revision))
+            }
+        }
+        return answer(200, """{"Tide":$revision}""")
+    }
+
+    private fun expire() {
+        if (away) return
+        val ended = leases.filterValues { it.endsMs < nowMs() }.keys
+        if (ended.isEmpty()) return
+        leases.keys.removeAll(ended)
+        for (key in data.filterValues { it.lease in ended }.keys.toList()) {
+            revision++
+            data.remove(key)
+            log.add(Change(remove = key, version = revision))
+        }
+    }
+
+    private fun answer(status: Int, text: String) = Reply.Answer(status, text.encodeToByteArray())
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/WireTest.kt
@@ -0,0 +1,105 @@
+package io.otterknot
+
+import io.otterknot.peer.PeerCodec
+import io.otterknot.peer.PeerMessage
+import io.otterknot.wire.Malformed
+import io.otterknot.wire.parseReport
+import io.otterknot.wire.parseSubmission
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+
+class WireTest {
+    private val good = """{"Uid":"j-000412","Ilk":"train","Crew":"vision","Sort":"sweep","Rank":"high","Chores":16,"Cores":8.0,""" +
+        """"Cards":1.0,"MemoryGb":64.0,"Pelt":"img-07","SizeGb":6.2,"Breeds":["g8"],"Reach":null,"SamePlace":true,"Scatter":false,""" +
+        """"Driftwood":true,"GuessS":240.0,"CacheS":30.0,"StashS":4.0,"DueS":900.0,"Extra":{"a":1}}"""
+
+    @Test
+    fun `a good submission is read, unknown fields ignored`() {
+        val spec = parseSubmission(good.encodeToByteArray())
+        assertEquals("j-000412", spec.id)
+        assertEquals(16, spec.tasks)
+        assertEquals(listOf("g8"), spec.types)
+        assertEquals(null, spec.zone)
+        assertTrue(spec.oneZone)
+    }
+
+    @Test
+    fun `what may be null may be left out`() {
+        val spec = parseSubmission(good.replace(""""Reach":null,""", "").replace(""""Breeds":["g8"],""", "").replace(""","DueS":900.0""", "").encodeToByteArray())
+        assertEquals(null, spec.types)
+        assertEquals(null, spec.dueS)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "\"Uid\":\"j-000412\"|\"Uid\":\"x-1\"|Uid",
+            "\"Uid\":\"j-000412\"|\"Uid\":412|Uid",
+            "\"Sort\":\"sweep\"|\"Sort\":\"gang\"|Sort",
+            "\"Rank\":\"high\"|\"Rank\":\"urgent\"|Rank",
+            "\"Chores\":16|\"Chores\":0|Chores",
+            "\"Chores\":16|\"Chores\":-3|Chores",
+            "\"Chores\":16|\"Chores\":100001|Chores",
+            "\"Chores\":16|\"Chores\":2.5|Chores",
+            "\"Chores\":16|\"Chores\":\"16\"|Chores",
+            "\"Cores\":8.0|\"Cores\":-1.0|Cores",
+            "\"Cores\":8.0|\"Cores\":1e999|Cores",
+            "\"Cores\":8.0|\"Cores\":\"8\"|Cores",
+            "\"MemoryGb\":64.0|\"MemoryGb\":null|MemoryGb",
+            "\"Pelt\":\"img-07\"|\"Pelt\":7|Pelt",
+            "\"Breeds\":[\"g8\"]|\"Breeds\":\"g8\"|Breeds",
+            "\"Breeds\":[\"g8\"]|\"Breeds\":[8]|Breeds",
+            "\"SamePlace\":true|\"SamePlace\":\"true\"|SamePlace",
+            "\"Scatter\":false|\"Scatter\":0|Scatter",
+            "\"GuessS\":240.0|\"GuessX\":240.0|GuessS",
+            "\"DueS\":900.0|\"DueS\":-1|DueS",
+            "\"Crew\":\"vision\",||Crew",
+        ],
+    )
+    fun `a bad field is named`(from: String, to: String?, field: String) {
+        val bad = good.replace(from, to.orEmpty())
+        assertTrue(bad != good)
+        val refused = assertThrows(Malformed::class.java) { parseSubmission(bad.encodeToByteArray()) }
+        assertTrue(refused.message!!.contains(field), refused.message)
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = ["", "{", "[]", "7", "null", "\"x\"", "{\"Uid\":}", "nonsense"])
+    fun `what is no object is refused`(body: String) {
+        assertThrows(Malformed::class.java) { parseSubmission(body.encodeToByteArray()) }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "", "{}", "[1]",
+            """{"Holt":"","Breed":"g","Reach":"a","Dive":1,"Ripple":1}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":0,"Ripple":1}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":1,"Ripple":-1}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":1,"Ripple":1,"Chores":[{"Chore":"j-1","Try":1,"Mood":"running"}]}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":1,"Ripple":1,"Chores":[{"Chore":"j-1/x","Try":1,"Mood":"running"}]}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":1,"Ripple":1,"Chores":[{"Chore":"j-1/0","Try":1,"Mood":"flying"}]}""",
+            """{"Holt":"m","Breed":"g","Reach":"a","Dive":1,"Ripple":1,"Chores":7}""",
+        ],
+    )
+    fun `a malformed report is refused`(body: String) {
+        assertThrows(Malformed::class.java) { parseReport(body.encodeToByteArray()) }
+    }
+
+    @Test
+    fun `controllers' messages survive their frames`() {
+        for (message in listOf(PeerMessage.Ask, PeerMessage.Announce("gdansk", 77, 3), PeerMessage.Withdraw("łódź", 78), PeerMessage.Known(2))) {
+            val frame = PeerCodec.encode(message)
+            assertEquals(message, PeerCodec.decode(frame.copyOfRange(4, frame.size)))
+        }
+        for (bad in listOf(byteArrayOf(9), byteArrayOf(2, 0), byteArrayOf(1, 1), byteArrayOf())) {
+            assertThrows(Malformed::class.java) { PeerCodec.decode(bad) }
+        }
+    }
+}
