--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -11,6 +11,7 @@
 import io.otterknot.http.Transport
 import io.otterknot.ownership.Ownership
 import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.ownership.Allotments
 import io.otterknot.ownership.Handover
 import io.otterknot.peer.Announcer
 import io.otterknot.peer.IdleParts
@@ -22,9 +23,11 @@
 import io.otterknot.placement.PartTimes
 import io.otterknot.placement.PartView
 import io.otterknot.placement.TeamShare
+import io.otterknot.state.Amount
 import io.otterknot.state.Entry
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
+import io.otterknot.state.MachineRecord
 import io.otterknot.state.MeanRecord
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Replica
@@ -85,11 +88,15 @@
     )
     private val views = zones.associateWith { PartView(it) }
     private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.txnOps, MAX_BATCH))
-    private val keeper = Keeper(state, replica, jobs, parts, ownership, writer, budget, facts.state.txnOps, nowMs)
+    private val keeper = Keeper(
+        state, replica, jobs, parts, ownership, writer, budget, facts.state.txnOps,
+        facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, nowMs,
+    )
     private val users = UserApi(
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
         (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
     )
+    private val allotments = Allotments(state, replica, ownership, parts, views, facts.teams, zones, random)
     private val handover = Handover(state, replica, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val idleParts = IdleParts(views)
@@ -108,6 +115,7 @@
         duty("inspection") { fleet.inspect() }
         duty("records") { keeper.keep() }
         duty("handover") { handover.balance() }
+        duty("allotments") { allotments.share() }
         duty("announcements") { announcer.announce() }
         duty("sweep") {
             while (true) {
@@ -166,11 +174,13 @@
                 val (zone, machine) = key.substring(Keys.MACHINES.length).split('/', limit = 2)
                 parts[zone]?.registeredNow(machine, entry != null)
             }
+            key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
             key.startsWith(Keys.MEANS) -> {
                 val view = views[key.substring(Keys.MEANS.length)] ?: return
                 val mean = if (entry == null) MeanRecord(0.0) else decodeRecord(MeanRecord.serializer(), entry.value)
                 view.mean = mean.mean
                 view.cores = mean.cores
+                view.needs = mean.needs
                 view.ordinaryMean = mean.ordinaryMean
                 view.ordinaryCores = mean.ordinaryCores
             }
@@ -184,8 +194,10 @@
         claimed.removeAll(due)
         for ((zone, token) in due) {
             if (ownership.claimed(zone) != token) continue
-            val registered = replica.under(Keys.MACHINES + zone + "/").map { it.first.substringAfterLast('/') }
-            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(), registered)
+            val registered = replica.under(Keys.MACHINES + zone + "/").associate { (key, entry) ->
+                key.substringAfterLast('/') to decodeRecord(MachineRecord.serializer(), entry.value).type
+            }
+            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(zone), registered)
             jobs.live.values.forEach { part.updateJob(it, inherited = true) }
             parts[zone] = part
             log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
@@ -202,10 +214,8 @@
     private fun offers(zone: String, spec: JobSpec): Boolean =
         fleet.types.orEmpty().any { zone in it.zones && (spec.types == null || it.name in spec.types) }
 
-    /** Each part may use an equal share of a team's limit, so that together they never pass it. */
-    private fun teamShares() = facts.teams.map { team ->
-        fun limit(max: Double) = if (max > 0) max / zones.size else Double.MAX_VALUE
-        TeamShare(team.name, if (team.cpus > 0) team.cpus else 1.0, limit(team.cpusMax), limit(team.gpusMax))
+    private fun teamShares(zone: String) = facts.teams.map { team ->
+        TeamShare(team.name, if (team.cpus > 0) team.cpus else 1.0, allotments.of(team.name).byZone[zone] ?: Amount())
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -37,6 +37,7 @@
     private val writer: Writer,
     private val budget: RateBudget,
     private val maxChanges: Int,
+    private val teams: List<String>,
     private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(Keeper::class.java)
@@ -89,11 +90,12 @@
         val told = replica[key]?.let { decodeRecord(MeanRecord.serializer(), it.value) }
         val mean = round(part.mean())
         val ordinary = round(part.ordinaryMean())
-        if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP) return null
+        val needs = teams.associateWith { part.need(it) }.filterValues { it.cores > 0 || it.cards > 0 }
+        if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP && told.needs == needs) return null
         val now = nowMs()
         if (now - (meanSentMs[part.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
         meanSentMs[part.zone] = now
-        return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores)))
+        return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores, needs)))
     }
 
     /** The owner of a job's home part makes it final once the completions of all its tasks are durable. */
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -0,0 +1,112 @@
+package io.otterknot.ownership
+
+import io.otterknot.config.TeamFacts
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartView
+import io.otterknot.state.AllotmentRecord
+import io.otterknot.state.Amount
+import io.otterknot.state.Keys
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.TxnOutcome
+import io.otterknot.state.decodeRecord
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
+import kotlin.random.Random
+
+/**
+ * Divides each team's limit among the parts. Only the giver lowers its allotment: it stops using what it gives before
+ * it asks for the transaction, so at no moment can the parts together use more than the limit.
+ */
+class Allotments(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val ownership: Ownership,
+    private val parts: Map<String, Part>,
+    private val views: Map<String, PartView>,
+    private val teams: List<TeamFacts>,
+    private val zones: List<String>,
+    private val random: Random,
+) {
+    private val log = LoggerFactory.getLogger(Allotments::class.java)
+
+    /** Parts and teams with a gift whose outcome is not known: their allotment stays lowered meanwhile. */
+    private val giving = HashSet<Pair<String, String>>()
+
+    fun of(team: String): AllotmentRecord =
+        replica[Keys.allotment(team)]?.let { decodeRecord(AllotmentRecord.serializer(), it.value) }
+            ?: teams.first { it.name == team }.let { AllotmentRecord.even(zones, it.cpusMax, it.gpusMax) }
+
+    fun changed(team: String) {
+        if (teams.none { it.name == team }) return
+        val record = of(team)
+        for (part in parts.values) {
+            if (part.zone to team !in giving) part.allot(team, record.byZone[part.zone] ?: Amount())
+        }
+    }
+
+    suspend fun share() {
+        while (true) {
+            delay(EVERY_MS + random.nextLong(500))
+            for (part in parts.values.toList()) {
+                for (team in teams) if (team.cpusMax > 0 || team.gpusMax > 0) consider(part, team.name)
+            }
+        }
+    }
+
+    private suspend fun consider(part: Part, team: String) {
+        if (ownership.token(part.zone) != part.token || !part.settled) return
+        val (to, need) = views.values.filter { it.zone != part.zone }.firstNotNullOfOrNull { view -> view.needs[team]?.let { view.zone to it } } ?: return
+        val spare = part.spare(team, to)
+        val amount = Amount(minOf(spare.cores, need.cores), minOf(spare.cards, need.cards))
+        if (amount.cores < LEAST && amount.cards < LEAST) return
+        give(part, team, to, amount)
+    }
+
+    private suspend fun give(part: Part, team: String, to: String, amount: Amount) {
+        val key = Keys.allotment(team)
+        val entry = replica[key]
+        val record = of(team)
+        val mine = record.byZone[part.zone] ?: return
+        val owner = Guard(Keys.part(part.zone), part.token)
+        giving.add(part.zone to team)
+        part.allot(team, mine - amount)
+        try {
+            val change = Change(put = key, value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount)))
+            while (parts[part.zone] === part) {
+                client.budget.take(1)
+                when (val outcome = client.txn(listOf(Guard(key, entry?.version ?: 0), owner), listOf(change))) {
+                    is TxnOutcome.Applied -> {
+                        log.info("{} gives {} of {} to {}", part.zone, amount, team, to)
+                        awaitReplica(outcome.revision, part)
+                        return
+                    }
+                    // The key has changed, by this transaction carried out before or by another part's gift.
+                    is TxnOutcome.Conflict -> {
+                        if (owner.key in outcome.failed) ownership.superseded(part.zone)
+                        awaitReplica(outcome.revision, part)
+                        return
+                    }
+                    is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(500 + random.nextLong(500))
+                }
+            }
+        } finally {
+            giving.remove(part.zone to team)
+            changed(team)
+        }
+    }
+
+    private suspend fun awaitReplica(revision: Long, part: Part) {
+        while (parts[part.zone] === part && !replica.reach(revision, REACH_MS)) delay(RETRY_MS)
+    }
+
+    private companion object {
+        const val EVERY_MS = 1_000L
+        const val LEAST = 1e-3
+        const val REACH_MS = 2_000L
+        const val RETRY_MS = 100L
+    }
+}
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -1,5 +1,6 @@
 package io.otterknot.placement
 
+import io.otterknot.state.Amount
 import io.otterknot.state.Job
 import io.otterknot.wire.Command
 import io.otterknot.wire.ExitCause
@@ -27,7 +28,7 @@
 }
 
 /** What a part needs to know of a team: what it may use here, and its share of a contended part. */
-class TeamShare(val name: String, val weight: Double, val cores: Double, val cards: Double)
+class TeamShare(val name: String, val weight: Double, var allotment: Amount)
 
 class PartTimes(val leaseMs: Long, val marginMs: Long = 700) {
     /** A machine's lease, on any clock that keeps to the protocol's drift, has ended after this long. */
@@ -53,7 +54,8 @@
     private val wallOf: (Long) -> Long,
     private val typeOf: (String) -> MachineType?,
     teams: List<TeamShare>,
-    registeredMachines: Collection<String>,
+    /** Machines that the part's owners have registered, with their types. */
+    registeredMachines: Map<String, String>,
 ) {
     private val log = LoggerFactory.getLogger(Part::class.java)
     private val machineIndex = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
@@ -70,8 +72,8 @@
     private var attempts = 0L
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
-    private val suspects = HashSet(registeredMachines)
-    private val registered = HashSet(registeredMachines)
+    private val suspects = HashMap(registeredMachines)
+    private val registered = HashSet(registeredMachines.keys)
     var settled = false
         private set
 
@@ -185,7 +187,7 @@
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
         val lively = talking.count { now - it.answeredMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
-        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.filter { machine(it) == null }
+        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.keys.filter { machine(it) == null }
         return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + unheard
     }
 
@@ -267,7 +269,7 @@
             release(attempt)
             requeue(attempt)
         }
-        if (suspects.remove(machine.id)) settle(now)
+        if (suspects.remove(machine.id) != null) settle(now)
         val free = machine.attempts.isEmpty()
         machine.reported(machine.bookedShare(), free && machine.usable)
         if (!free) machine.idleSinceMs = now
@@ -463,11 +465,62 @@
     private fun withinLimits(job: PartJob): Boolean {
         val spec = job.spec
         // Active tasks of this part are all that can be in its zone, so half of the job's tasks may be active here.
-        if (spec.spread && job.active.size + 1 > spec.perZoneLimit) return false
+        if (spec.spread && job.active.size + job.doubtful.cardinality() + 1 > spec.perZoneLimit) return false
         val team = teamIndex.getInt(spec.team)
         if (team < 0) return false
-        val share = teams[team]
-        return teamCores[team] + spec.cores <= share.cores + Machine.EPS && teamCards[team] + spec.cards <= share.cards + Machine.EPS
+        val left = leftover(team)
+        return spec.cores <= left.cores + Machine.EPS && spec.cards <= left.cards + Machine.EPS
+    }
+
+    /**
+     * What a team may still use here. A machine that is not known yet may be full of its tasks, also of jobs that are
+     * over: until it is, all of that machine counts as used.
+     */
+    private fun leftover(team: Int): Amount {
+        var cores = teams[team].allotment.cores - teamCores[team]
+        var cards = teams[team].allotment.cards - teamCards[team]
+        if (!settled) {
+            for (type in suspects.values) {
+                cores -= typeOf(type)?.cores ?: return Amount()
+                cards -= typeOf(type)?.cards ?: 0.0
+            }
+        }
+        return Amount(cores, cards)
+    }
+
+    fun allot(name: String, allotment: Amount) {
+        val team = teamIndex.getInt(name)
+        if (team >= 0) teams[team].allotment = allotment
+    }
+
+    /** What the waiting tasks of a team need here beyond the allotment. */
+    fun need(name: String): Amount {
+        val team = teamIndex.getInt(name)
+        if (team < 0) return Amount()
+        val left = leftover(team)
+        val waiting = jobs.filter { it.spec.team == name }
+        return Amount(
+            maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cores } - left.cores),
+            maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cards } - left.cards),
+        )
+    }
+
+    /**
+     * What this part can give of a team's allotment to the part of [to]: what nothing here waits for, or what is too
+     * little for any task here, then only in one direction, or two parts would hold each half of what a task needs.
+     */
+    fun spare(name: String, to: String): Amount {
+        val team = teamIndex.getInt(name)
+        if (team < 0 || !settled) return Amount()
+        val left = leftover(team)
+        val waiting = jobs.filter { it.spec.team == name && !it.pending.isEmpty }
+        val useless = to < zone && waiting.isNotEmpty() &&
+            waiting.none { it.spec.cores <= left.cores + Machine.EPS && it.spec.cards <= left.cards + Machine.EPS }
+        if (useless) return Amount(maxOf(0.0, left.cores), maxOf(0.0, left.cards))
+        return Amount(
+            maxOf(0.0, left.cores - waiting.sumOf { it.waiting * it.spec.cores }),
+            maxOf(0.0, left.cards - waiting.sumOf { it.waiting * it.spec.cards }),
+        )
     }
 
     /** Unlike any attempt of another owner or an earlier start: the token is in it. */
--- a/src/main/kotlin/io/otterknot/placement/PartChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartChooser.kt
@@ -1,5 +1,6 @@
 package io.otterknot.placement
 
+import io.otterknot.state.Amount
 import io.otterknot.state.Span
 import io.otterknot.wire.JobSpec
 import kotlin.random.Random
@@ -25,6 +26,9 @@
         const val MIN_CORES = 32.0
     }
 
+    /** What teams need there beyond the part's allotment. */
+    var needs: Map<String, Amount> = emptyMap()
+
     /** Announced idle machines, as far as this node knows. */
     var idleMachines = 0
 }
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -49,8 +49,36 @@
     @SerialName("c") val cores: Double = 0.0,
     @SerialName("om") val ordinaryMean: Double = 0.0,
     @SerialName("oc") val ordinaryCores: Double = 0.0,
+    /** By team: cores and cards that waiting tasks need beyond the part's allotment. */
+    @SerialName("n") val needs: Map<String, Amount> = emptyMap(),
 )
 
+@Serializable
+data class Amount(@SerialName("c") val cores: Double = 0.0, @SerialName("g") val cards: Double = 0.0) {
+    operator fun plus(other: Amount) = Amount(cores + other.cores, cards + other.cards)
+    operator fun minus(other: Amount) = Amount(cores - other.cores, cards - other.cards)
+}
+
+/** How a team's limit is divided among the parts. The sum never changes: a part gives of its own, in one transaction. */
+@Serializable
+data class AllotmentRecord(@SerialName("z") val byZone: Map<String, Amount>) {
+    fun moved(from: String, to: String, amount: Amount): AllotmentRecord {
+        val left = byZone.getValue(from) - amount
+        require(left.cores >= 0 && left.cards >= 0) { "more than the allotment of $from" }
+        return AllotmentRecord(byZone + (from to left) + (to to (byZone[to] ?: Amount()) + amount))
+    }
+
+    companion object {
+        /** What holds until something has been moved. No limit, given as 0, is a limit that nothing reaches. */
+        fun even(zones: List<String>, maxCores: Double, maxCards: Double): AllotmentRecord {
+            fun part(max: Double) = if (max > 0) max / zones.size else UNLIMITED
+            return AllotmentRecord(zones.associateWith { Amount(part(maxCores), part(maxCards)) })
+        }
+
+        const val UNLIMITED = 1e12
+    }
+}
+
 /** Who owns which tasks of a job, as spans in the order of the tasks. */
 object Spans {
     /** The spans once [tasks] belong to [zone]. */
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -65,6 +65,15 @@
         fun cases() = listOf(
             Case("quiet") { },
             Case("a team at its limit", teamLimit = 12.0) { },
+            Case("a team whose limit is below one task for each part", teamLimit = 5.0) { },
+            Case("a team at its limit while controllers restart", teamLimit = 8.0) {
+                for (node in nodes) {
+                    crash(node)
+                    delay(1_500)
+                    startNode(node)
+                    delay(4_000)
+                }
+            },
             Case("one controller crashes and comes back") {
                 crash("holt-a")
                 delay(6_000)
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -0,0 +1,194 @@
+package io.otterknot
+
+import io.otterknot.placement.Aims
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartTimes
+import io.otterknot.placement.ReportDecision
+import io.otterknot.placement.TeamShare
+import io.otterknot.state.Amount
+import io.otterknot.state.Final
+import io.otterknot.state.Job
+import io.otterknot.state.JobRecord
+import io.otterknot.state.Span
+import io.otterknot.wire.Command
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
+import io.otterknot.wire.Report
+import io.otterknot.wire.TaskReport
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** One owner's decisions on the reports of its machines. */
+class PartTest {
+    private val type = MachineType("big", 8.0, 0.0, 64.0)
+    private val seqs = HashMap<String, Long>()
+
+    private fun part(registered: List<String> = emptyList(), limit: Double = 1e9) = Part(
+        "a", 7, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type },
+        listOf(TeamShare("red", 1.0, Amount(limit, 0.0)), TeamShare("blue", 1.0, Amount(1e9, 0.0))), registered.associateWith { "big" },
+    )
+
+    private fun job(id: Int, tasks: Int, cores: Double = 2.0, priority: Priority = Priority.HIGH, team: String = "red") = Job("j-%06d".format(id)).also {
+        it.record = JobRecord(JobSpec(it.id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0), listOf(Span("a", 0, tasks)))
+    }
+
+    private fun Part.hear(machine: String, token: Long, now: Long, vararg tasks: TaskReport, session: Long = 1, seq: Long? = null): ReportDecision =
+        report(Report(machine, "", "big", "a", false, session, seq ?: seqs.merge(machine, 1, Long::plus)!!, token, null, tasks.toList()), now)
+
+    private fun ReportDecision.commands(): List<Command> = (this as ReportDecision.Answer).commands
+
+    private fun ReportDecision.starts() = commands().filter { it.op == "start" }
+
+    private fun Command.shown(state: String = "running", cause: String? = null) = TaskReport(task, attempt, state, cause)
+
+    /** A machine that is known, registered and idle. */
+    private fun Part.ready(vararg machines: String) = machines.forEach {
+        hear(it, token, 1)
+        registeredNow(it, true)
+    }
+
+    @Test
+    fun `a machine that has not seen the token gets it and nothing else, and settles nothing`() {
+        val part = part(listOf("m1", "m2"))
+        part.updateJob(job(1, 4), inherited = true)
+        assertEquals(ReportDecision.Answer(7, emptyList()), part.hear("m1", 3, 100, TaskReport("j-000001/0", 9, "running")))
+        assertTrue(part.hear("m1", 7, 200, TaskReport("j-000001/0", 9, "running")).commands().isEmpty())
+        assertTrue(!part.settled, "m2 may hold the other tasks")
+        assertTrue(part.hear("m2", 3, 300).commands().isEmpty())
+        assertTrue(!part.settled, "m2 has not seen the token")
+        val started = part.hear("m2", 7, 400).starts() + part.hear("m1", 7, 500, TaskReport("j-000001/0", 9, "running")).starts()
+        assertEquals(setOf("j-000001/1", "j-000001/2", "j-000001/3"), started.map { it.task }.toSet())
+    }
+
+    @Test
+    fun `doubts end with the lease of a machine that stays silent, or with its release`() {
+        for (released in listOf(true, false)) {
+            val part = part(listOf("m1", "gone"))
+            part.updateJob(job(1, 1), inherited = true)
+            part.hear("m1", 7, 100)
+            part.sweep(10_000)
+            assertTrue(!part.settled)
+            if (released) part.released("gone")
+            part.sweep(if (released) 10_000 else 10_800)
+            assertEquals(1, part.hear("m1", 7, 10_900).starts().size)
+        }
+    }
+
+    @Test
+    fun `a higher token means another owner, an older report means nothing`() {
+        val part = part()
+        assertEquals(ReportDecision.Superseded, part.hear("m1", 8, 1))
+        part.hear("m1", 7, 2, session = 2, seq = 5)
+        for ((session, seq) in listOf(1L to 9L, 2L to 4L, 2L to 5L)) assertEquals(ReportDecision.Stale, part.hear("m1", 7, 3, session = session, seq = seq))
+    }
+
+    @Test
+    fun `a start that the next report does not show is tried again under another number`() {
+        val part = part()
+        part.ready("m1")
+        part.updateJob(job(1, 1), inherited = false)
+        val first = part.hear("m1", 7, 10).starts().single()
+        val second = part.hear("m1", 7, 20).starts().single()
+        assertNotEquals(first.attempt, second.attempt)
+        assertTrue(part.hear("m1", 7, 30, second.shown()).commands().isEmpty())
+        // A new session has forgotten everything.
+        assertEquals("j-000001/0", part.hear("m1", 7, 40, session = 2, seq = 1).starts().single().task)
+    }
+
+    @Test
+    fun `a silent machine's tasks start elsewhere only after its lease`() {
+        val part = part()
+        part.ready("m1", "m2")
+        part.updateJob(job(1, 1, cores = 8.0), inherited = false)
+        val holder = if (part.hear("m1", 7, 10).starts().isNotEmpty()) "m1" else "m2".also { part.hear("m2", 7, 10) }
+        val other = if (holder == "m1") "m2" else "m1"
+        for (now in listOf(5_000L, 10_000L)) {
+            part.sweep(now)
+            assertTrue(part.hear(other, 7, now).starts().isEmpty(), "at $now")
+        }
+        part.sweep(10_800)
+        assertEquals(1, part.hear(other, 7, 10_900).starts().size)
+    }
+
+    @Test
+    fun `a completion is forgotten only once it is durable`() {
+        val part = part()
+        part.ready("m1")
+        val job = job(1, 1)
+        part.updateJob(job, inherited = false)
+        val start = part.hear("m1", 7, 10).starts().single()
+        assertTrue(part.hear("m1", 7, 20, start.shown("exited", "done")).commands().isEmpty())
+        assertTrue(part.job(job.id)!!.fresh.get(0))
+        job.done.set(0)
+        part.updateDone(job)
+        assertEquals(listOf("forget"), part.hear("m1", 7, 30, start.shown("exited", "done")).commands().map { it.op })
+    }
+
+    @Test
+    fun `a cancelled job is halted where it runs and started nowhere`() {
+        val part = part()
+        part.ready("m1")
+        val job = job(1, 6)
+        part.updateJob(job, inherited = false)
+        val starts = part.hear("m1", 7, 10).starts()
+        assertEquals(4, starts.size)
+        job.record = JobRecord(final = Final.CANCELLED)
+        part.updateJob(job, inherited = false)
+        val commands = part.hear("m1", 7, 20, *starts.map { it.shown() }.toTypedArray()).commands()
+        assertEquals(List(4) { "halt" }, commands.map { it.op })
+        assertTrue(part.hear("m1", 7, 30).commands().isEmpty())
+    }
+
+    @Test
+    fun `a team keeps to its allotment, also while a machine is not known yet`() {
+        val part = part(listOf("unknown"), limit = 10.0)
+        part.hear("m1", 7, 1)
+        part.registeredNow("m1", true)
+        part.updateJob(job(1, 4), inherited = false)
+        assertEquals(1, part.hear("m1", 7, 10).starts().size, "eight of ten cores may be in use on the unknown machine")
+        part.released("unknown")
+        part.sweep(20)
+        assertEquals(4, part.hear("m1", 7, 30).starts().size)
+        part.updateJob(job(2, 4), inherited = false)
+        part.ready("m2")
+        assertTrue(part.hear("m2", 7, 40).starts().size <= 1)
+    }
+
+    @Test
+    fun `urgent work stops lesser work, the newest first, and lesser work does not take the room`() {
+        val part = part()
+        part.ready("m1")
+        part.updateJob(job(1, 20, cores = 1.0, priority = Priority.BEST_EFFORT, team = "blue"), inherited = false)
+        val low = part.hear("m1", 7, 10).starts()
+        assertEquals(8, low.size)
+        part.hear("m1", 7, 20, *low.map { it.shown() }.toTypedArray())
+        part.updateJob(job(2, 1, cores = 3.0), inherited = false)
+        val halted = part.hear("m1", 7, 30, *low.map { it.shown() }.toTypedArray()).commands()
+        assertEquals(List(3) { "halt" }, halted.map { it.op })
+        val gone = halted.map { it.attempt }.toSet()
+        // Only two of the three have stopped: their cores stay free for the urgent task.
+        val two = gone.take(2).toSet()
+        val partly = part.hear("m1", 7, 40, *low.filter { it.attempt !in two }.map { it.shown() }.toTypedArray()).commands()
+        assertTrue(partly.none { it.op == "start" }, "$partly")
+        val all = part.hear("m1", 7, 50, *low.filter { it.attempt !in gone }.map { it.shown() }.toTypedArray()).starts()
+        assertEquals(listOf("j-000002/0"), all.map { it.task })
+    }
+
+    @Test
+    fun `tasks set aside for another part are not started here`() {
+        val part = part()
+        val job = job(1, 6)
+        part.updateJob(job, inherited = false)
+        val held = part.job(job.id)!!
+        val aside = part.setAside(held, 8.0)
+        assertEquals(4, aside.cardinality())
+        part.ready("m1")
+        assertEquals(listOf("j-000001/0", "j-000001/1"), part.hear("m1", 7, 10).starts().map { it.task })
+        part.settleHandover(held, aside)
+        assertEquals(4, held.waiting)
+    }
+}
