--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -28,6 +28,15 @@
         }
     }
 
+    /**
+     * How long a waiting task lets lesser work finish by itself, held room filling up meanwhile, before it has some
+     * stopped: a part of the tightest wait asked for, since what is stopped has run for nothing.
+     */
+    fun patienceMs(spec: JobSpec): Long {
+        val tightest = byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().minOfOrNull { it.withinS } ?: DEFAULT_WAIT_S
+        return (tightest * PATIENCE * 1000).toLong()
+    }
+
     /**
      * The share of jobs that are to start sooner than a machine boots; for them machines must be there in advance.
      * Half of them where no such aim is stated.
@@ -36,6 +45,9 @@
         byKind.values.flatten().filterIsInstance<Aim.Started>().filter { it.withinS < bootS }.maxOfOrNull { it.share } ?: 0.5
 
     private companion object {
+        const val PATIENCE = 0.3
+        const val DEFAULT_WAIT_S = 10.0
+
         /** Owners' estimates are often wrong by half: a job is given up on only when even that would not do. */
         const val LIKELY = 0.6
     }
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -70,6 +70,13 @@
             usedMemory - freeing.memoryGb + held.memoryGb + spec.memoryGb <= type.memoryGb + EPS &&
             usedCards - freeing.cards + held.cards + spec.cards <= type.cards + EPS
 
+    /** What is free or being freed and not held for anybody. */
+    fun openRoom() = Amounts(
+        type.cores - usedCores + freeing.cores - held.cores,
+        type.memoryGb - usedMemory + freeing.memoryGb - held.memoryGb,
+        type.cards - usedCards + freeing.cards - held.cards,
+    )
+
     fun allowed(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type.name in spec.types)
 
     fun book(spec: JobSpec) {
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -70,6 +70,7 @@
     private val teamCores = DoubleArray(teams.size)
     private val teamCards = DoubleArray(teams.size)
     private var attempts = 0L
+    private var ordinaryWork = false
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
     private val suspects = HashMap(registeredMachines)
@@ -414,6 +415,7 @@
         val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
         if (waiting.isEmpty()) return
         val usable = machines.filter { it.usable }
+        ordinaryWork = jobs.any { !it.spec.spot }
         for (machine in usable) {
             machine.held = Amounts()
             machine.freeing = Amounts().apply { machine.attempts.values.forEach { if (it.halting) add(it.job.spec) } }
@@ -433,7 +435,7 @@
                     if (queue.isEmpty()) queues.remove(team)
                 }
             }
-            if (priority < Priority.BEST_EFFORT) makeRoom(waiting.filter { it.spec.priority == priority && !it.pending.isEmpty }, usable)
+            if (priority < Priority.BEST_EFFORT) makeRoom(waiting.filter { it.spec.priority == priority && !it.pending.isEmpty }, usable, now)
         }
     }
 
@@ -454,7 +456,9 @@
     private fun placeOne(job: PartJob, usable: List<Machine>, now: Long): Boolean {
         val spec = job.spec
         if (!withinLimits(job)) return false
-        val fitting = usable.filter { it.allowed(spec) && it.spareFor(spec) && job.id !in it.failedJobs }
+        var fitting = usable.filter { it.allowed(spec) && it.spareFor(spec) && job.id !in it.failedJobs }
+        // Where some work may run on ordinary machines only, other work takes those last: it would be stopped there.
+        if (spec.spot && ordinaryWork && fitting.any { it.spot }) fitting = fitting.filter { it.spot }
         val machine = Saqr.choose(fitting, random, { it.share(spec) }, { spec.image in it.images }) ?: return false
         val task = job.pending.nextSetBit(0)
         job.pending.clear(task)
@@ -530,47 +534,55 @@
      * Stops tasks of lower priority where a waiting task would then fit, the least work lost first, and holds the room
      * for it. Without holding it, lower work that waits would take each freed core before the urgent task fits.
      */
-    private fun makeRoom(waiting: List<PartJob>, usable: List<Machine>) {
+    private fun makeRoom(waiting: List<PartJob>, usable: List<Machine>, now: Long) {
         for (job in waiting) {
             val spec = job.spec
-            var left = job.waiting
-            for (machine in usable) {
-                if (left == 0) break
-                if (!machine.allowed(spec) || job.id in machine.failedJobs) continue
-                while (left > 0 && hold(machine, spec)) left--
+            val team = teamIndex.getInt(spec.team)
+            if (team < 0) continue
+            val patient = wallOf(now) - job.submittedMs < aims.patienceMs(spec)
+            val possible = usable.filter { it.allowed(spec) && job.id !in it.failedJobs }
+            // What the team's allotment does not let start needs no room.
+            val left = leftover(team)
+            val startable = if (spec.cores > 0) minOf(job.waiting.toDouble(), (left.cores + Machine.EPS) / spec.cores).toInt() else job.waiting
+            repeat(startable) {
+                val room = possible.firstOrNull { it.openRoom().covers(spec) }
+                if (room != null) {
+                    room.held.add(spec)
+                    return@repeat
+                }
+                val (machine, victims) = possible.mapNotNull { machine -> victims(machine, spec, now)?.let { machine to it } }
+                    .minByOrNull { (_, victims) -> victims.sumOf { lostWork(it, now) } } ?: return@repeat
+                machine.held.add(spec)
+                if (patient) return@repeat
+                for (victim in victims) {
+                    if (victim.phase == Phase.BOOKED) {
+                        release(victim)
+                        requeue(victim)
+                    } else {
+                        victim.halting = true
+                        machine.freeing.add(victim.job.spec)
+                    }
+                }
             }
         }
     }
 
-    private fun hold(machine: Machine, spec: JobSpec): Boolean {
-        val open = Amounts(
-            machine.type.cores - machine.usedCores + machine.freeing.cores - machine.held.cores,
-            machine.type.memoryGb - machine.usedMemory + machine.freeing.memoryGb - machine.held.memoryGb,
-            machine.type.cards - machine.usedCards + machine.freeing.cards - machine.held.cards,
-        )
-        if (!open.covers(spec)) {
-            val victims = ArrayList<Attempt>()
-            for (attempt in machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }
-                .sortedByDescending { if (it.phase == Phase.RUNNING) it.since else Long.MAX_VALUE }) {
-                open.add(attempt.job.spec)
-                victims.add(attempt)
-                if (open.covers(spec)) break
-            }
-            if (!open.covers(spec)) return false
-            for (victim in victims) {
-                if (victim.phase == Phase.BOOKED) {
-                    release(victim)
-                    requeue(victim)
-                } else {
-                    victim.halting = true
-                    machine.freeing.add(victim.job.spec)
-                }
-            }
+    /** The attempts to stop so that a task fits, those that lose least first; null: not even then would it. */
+    private fun victims(machine: Machine, spec: JobSpec, now: Long): List<Attempt>? {
+        val open = machine.openRoom()
+        val victims = ArrayList<Attempt>()
+        for (attempt in machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }.sortedBy { lostWork(it, now) }) {
+            open.add(attempt.job.spec)
+            victims.add(attempt)
+            if (open.covers(spec)) return victims
         }
-        machine.held.add(spec)
-        return true
+        return null
     }
 
+    /** Core-seconds that stopping an attempt throws away. */
+    private fun lostWork(attempt: Attempt, now: Long): Double =
+        if (attempt.phase == Phase.RUNNING) (now - attempt.since) / 1000.0 * attempt.job.spec.cores else 0.0
+
     // ---- what others are told ---------------------------------------------------------------------------------
 
     /** Cores of tasks that wait here, and of those the ones that may not use spot machines. */
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -139,6 +139,16 @@
                 }
                 state.lossy = 0.0
             },
+            Case("cancellations race completions") {
+                // Without the guard on the job's version a cancellation would overwrite a job just told to be done.
+                state.lossy = 0.1
+                for (id in 101..160) {
+                    user(spec(id, 1 + id % 2, 1.0), 1_000L + random.nextLong(4_000))
+                    delay(100)
+                }
+                delay(10_000)
+                state.lossy = 0.0
+            },
             Case("machines hang and go on within their lease, and after it") {
                 machines().forEachIndexed { index, worker -> worker.hungUntilMs = machines().first().bornMs + 12_000 + 5_000L * (index % 5) }
                 delay(20_000)
