--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -83,7 +83,7 @@
     )
     private val fleet = Fleet(
         cloud, ownership, parts,
-        FleetPolicy(MAX_MACHINES_PER_PART), { boot -> aims.readyShare(boot) },
+        FleetPolicy(MAX_MACHINES_PER_PART), aims,
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -3,8 +3,10 @@
 import io.otterknot.cloud.CloudClient
 import io.otterknot.cloud.RentOutcome
 import io.otterknot.ownership.Ownership
+import io.otterknot.placement.Aims
 import io.otterknot.placement.Machine
 import io.otterknot.placement.Part
+import io.otterknot.wire.JobSpec
 import io.otterknot.wire.ListedMachine
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.RentRequest
@@ -18,7 +20,7 @@
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
     private val policy: FleetPolicy,
-    private val readyShare: (bootS: Double) -> Double,
+    private val aims: Aims,
     private val reportMs: Long,
     private val leaseMs: Long,
     private val nowMs: () -> Long,
@@ -124,14 +126,18 @@
     private fun view(part: Part): FleetView {
         val own = part.machines.filter { !it.silent && !it.draining && !it.retiring }
         val expected = coming.values.filter { it.zone == part.zone }
-        val ordinary = part.waitingCores(false) + part.activeCores(false)
-        val total = part.waitingCores(null) + part.activeCores(null)
+        val bootS = types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
+        val share = part.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
         val recent = recentDemand.getOrPut(part.zone) { RecentDemand() }
-        val now = nowMs()
-        val share = readyShare(types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0)
+        recent.share = maxOf(recent.share, share)
+        // Only work that cannot wait for a boot has machines kept for it; the rest takes them as it comes.
+        fun wanted(window: DemandWindow, of: (JobSpec) -> Boolean): Double {
+            val prompt = part.demand { of(it) && aims.readyShare(it, bootS) > 0 }
+            return window.note(nowMs(), prompt, recent.share) + part.demand(of) - prompt
+        }
         return FleetView(
-            ordinaryDemand = recent.ordinary.note(now, ordinary, share),
-            totalDemand = recent.total.note(now, total, share),
+            ordinaryDemand = wanted(recent.ordinary) { !it.spot },
+            totalDemand = wanted(recent.total) { true },
             ordinarySupply = own.filter { !it.spot }.sumOf { it.type.cores } + expected.filter { !it.kind.spot }.sumOf { it.cores },
             totalSupply = own.sumOf { it.type.cores } + expected.sumOf { it.cores },
             machines = own.size + expected.size,
@@ -214,6 +220,7 @@
     private class RecentDemand {
         val ordinary = DemandWindow()
         val total = DemandWindow()
+        var share = 0.0
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -38,11 +38,11 @@
     }
 
     /**
-     * The share of jobs that are to start sooner than a machine boots; for them machines must be there in advance.
-     * Half of them where no such aim is stated.
+     * The share of such jobs that are to start sooner than a machine boots: for them machines must be there in
+     * advance. 0 where they may wait for a boot.
      */
-    fun readyShare(bootS: Double): Double =
-        byKind.values.flatten().filterIsInstance<Aim.Started>().filter { it.withinS < bootS }.maxOfOrNull { it.share } ?: 0.5
+    fun readyShare(spec: JobSpec, bootS: Double): Double =
+        byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().filter { it.withinS < bootS }.maxOfOrNull { it.share } ?: 0.0
 
     private companion object {
         const val PATIENCE = 0.3
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -585,25 +585,23 @@
 
     // ---- what others are told ---------------------------------------------------------------------------------
 
-    /** Cores of tasks that wait here, and of those the ones that may not use spot machines. */
-    fun waitingCores(spotAllowed: Boolean?): Double =
-        jobs.filter { spotAllowed == null || it.spec.spot == spotAllowed }
-            .sumOf { (it.waiting + it.doubtful.cardinality()) * it.spec.cores }
+    private fun waitingCores(): Double = jobs.sumOf { it.waitingCores }
 
-    fun activeCores(spotAllowed: Boolean?): Double =
-        jobs.filter { spotAllowed == null || it.spec.spot == spotAllowed }.sumOf { it.active.size * it.spec.cores }
+    /** Cores that the tasks of some jobs take here or wait for. */
+    fun demand(of: (JobSpec) -> Boolean): Double =
+        jobs.filter { of(it.spec) }.sumOf { it.waitingCores + it.active.size * it.spec.cores }
 
     val totalCores: Double get() = machines.filter { !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
 
     val ordinaryCores: Double get() = machines.filter { !it.spot && !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
 
-    fun ordinaryMean(): Double = (activeCores(false) + waitingCores(false)) / maxOf(ordinaryCores, 1.0)
+    fun ordinaryMean(): Double = demand { !it.spot } / maxOf(ordinaryCores, 1.0)
 
     /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
     fun mean(): Double {
         val cores = totalCores
         val busy = machines.filter { !it.silent }.sumOf { it.usedCores }
-        return (busy + waitingCores(null)) / maxOf(cores, 1.0)
+        return (busy + waitingCores()) / maxOf(cores, 1.0)
     }
 
     fun runningTasks(jobId: String): Int = job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -29,5 +29,6 @@
     /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
     val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
 
+    val waitingCores: Double get() = (waiting + doubtful.cardinality()) * spec.cores
     val waiting: Int get() = pending.cardinality()
 }
