--- a/src/main/kotlin/io/otterknot/fleet/DemandWindow.kt
+++ b/src/main/kotlin/io/otterknot/fleet/DemandWindow.kt
@@ -4,7 +4,7 @@
  * Demand over the last while. What must be there in advance is the demand that was not passed for a given share of
  * that time: a larger share asked for keeps more machines through a lull.
  */
-class DemandWindow(private val spanMs: Long = 120_000, private val stepMs: Long = 1_500) {
+class DemandWindow(private val spanMs: Long = 60_000, private val stepMs: Long = 1_500) {
     private val values = ArrayDeque<Double>()
     private var lastMs = Long.MIN_VALUE / 2
 
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -156,6 +156,13 @@
         for (machine in candidates) {
             if (policy.spares(view(part), machine.spot, machine.type.cores)) machine.retiring = true
         }
+        if (log.isDebugEnabled) {
+            val view = view(part)
+            log.debug(
+                "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring", part.zone, view.totalDemand,
+                view.ordinaryDemand, view.totalSupply, view.ordinarySupply, part.machines.size, part.machines.count { it.retiring },
+            )
+        }
     }
 
     private suspend fun returnIdle(part: Part) {
