A take-over counts a silent machine's lease from the last answer it was given

Also registrations go only after the cloud's answer. Test in PartTest, seen to fail without the change.

--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -70,9 +70,7 @@
             }
         }
         // A machine that is gone for good is no suspect for the next owner.
-        for (id in part.registeredIds()) {
-            if (part.machine(id) == null && part.settled) wishes.add(Wish(Keys.machine(part.zone, id), null))
-        }
+        for (id in part.retired) wishes.add(Wish(Keys.machine(part.zone, id), null))
         mean(part)?.let(wishes::add)
         return wishes
     }
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -200,7 +200,7 @@
             coming.entries.removeIf { it.key !in ids && now - it.value.sinceMs > VANISHED_MS }
             // A machine that neither reports nor is listed has been taken.
             for (part in parts.values) {
-                part.machines.filter { it.silent && it.id !in ids && now - it.answeredMs > VANISHED_MS }.forEach { part.released(it.id) }
+                part.machines.filter { it.silent && it.id !in ids && now - it.answeredMs > VANISHED_MS }.forEach { part.dismiss(it.id) }
             }
             release(useless, "failed, silent or never up")
         }
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -160,17 +160,29 @@
     // ---- machines ---------------------------------------------------------------------------------------------
 
     fun registeredNow(id: String, present: Boolean) {
-        if (present) registered.add(id) else registered.remove(id)
+        if (present) {
+            registered.add(id)
+        } else {
+            registered.remove(id)
+            retired.remove(id)
+        }
         machine(id)?.registered = present
     }
 
-    fun registeredIds(): Set<String> = registered
-
     /** Machines that report here and must be registered before they may get a task. */
     fun unregistered(): List<Machine> = machines.filter { it.reconciled && !it.registered && !it.silent }
 
     /** The cloud says that the machine and everything on it is gone. */
     fun released(id: String) {
+        if (id in registered) retired.add(id)
+        dismiss(id)
+    }
+
+    /** Registered machines that are surely gone; their names never come back, so their keys may go too. */
+    val retired = HashSet<String>()
+
+    /** A machine that the cloud lists no more, long after its lease: should it come back after all, it starts anew. */
+    fun dismiss(id: String) {
         suspects.remove(id)
         val machine = machine(id) ?: return
         forgetAll(machine)
@@ -214,7 +226,10 @@
 
     private fun settle(now: Long) {
         if (settled) return
-        if (suspects.isNotEmpty() && now - claimedMs <= times.surelyOverMs) return
+        // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
+        // then falls silent, its lease ends that much later than those of machines never heard of.
+        suspects.keys.removeIf { id -> now - maxOf(claimedMs, machine(id)?.answeredMs ?: claimedMs) > times.surelyOverMs }
+        if (suspects.isNotEmpty()) return
         settled = true
         var count = 0
         for (job in jobs) {
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -78,6 +78,20 @@
         }
     }
 
+    @Test
+    fun `a machine that got the token and fell silent keeps its tasks until the lease that the answer renewed`() {
+        val part = part(listOf("m1", "m2"))
+        part.updateJob(job(1, 1), inherited = true)
+        part.hear("m1", 7, 100)
+        part.hear("m2", 3, 9_000, TaskReport("j-000001/0", 9, "running"))
+        for (now in listOf(10_900L, 15_000L, 19_000L)) {
+            part.sweep(now)
+            assertTrue(part.hear("m1", 7, now).starts().isEmpty(), "at $now")
+        }
+        part.sweep(19_800)
+        assertEquals(1, part.hear("m1", 7, 19_900).starts().size)
+    }
+
     @Test
     fun `a higher token means another owner, an older report means nothing`() {
         val part = part()
