--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -34,7 +34,12 @@
 import io.otterknot.state.StateClient
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
 import io.otterknot.wire.JobSpec
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.MachineTypes
 import io.otterknot.workers.ReportDoor
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -110,7 +115,7 @@
         duty("barrier") { replica.serveBarrier() }
         duty("lease") { ownership.keepLease() }
         duty("claims") { ownership.claimParts() }
-        duty("types") { fleet.learnTypes() }
+        duty("types") { fleet.learnTypes(::rememberTypes) }
         duty("fleet") { fleet.manage() }
         duty("inspection") { fleet.inspect() }
         duty("records") { keeper.keep() }
@@ -174,6 +179,7 @@
                 val (zone, machine) = key.substring(Keys.MACHINES.length).split('/', limit = 2)
                 parts[zone]?.registeredNow(machine, entry != null)
             }
+            key == Keys.TYPES -> if (entry != null) fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
             key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
             key.startsWith(Keys.MEANS) -> {
                 val view = views[key.substring(Keys.MEANS.length)] ?: return
@@ -187,6 +193,21 @@
         }
     }
 
+    /** Keeps what the cloud offers for controllers that start while it is away; prices alone are no reason to write. */
+    private suspend fun rememberTypes(offered: List<MachineType>) {
+        while (!replica.loaded) delay(DUTY_PAUSE_MS)
+        val entry = replica[Keys.TYPES]
+        val known = entry?.let { decodeRecord(MachineTypes.serializer(), it.value).types }.orEmpty()
+        fun shape(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
+        if (shape(known) == shape(offered)) return
+        val value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered))
+        if (value.toString().length > facts.state.valueKb * 1024) return
+        budget.take(1)
+        // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
+        val outcome = state.txn(listOf(Guard(Keys.TYPES, entry?.version ?: 0)), listOf(Change(put = Keys.TYPES, value = value)))
+        log.debug("machine types written: {}", outcome)
+    }
+
     /** A claimed part is taken up once the replica holds everything that was written before the claim. */
     private fun takeUpClaims() {
         if (fleet.types == null) return
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -49,14 +49,31 @@
     /** Cores rented for [zone] that do not report yet. */
     fun comingCores(zone: String): Double = coming.values.filter { it.zone == zone }.sumOf { it.cores }
 
-    suspend fun learnTypes() {
+    /** The cloud itself has said what it offers since this process started. */
+    private var heard = false
+
+    /**
+     * Types that the service has learned before. A controller that starts while the cloud is away would otherwise own
+     * parts and place nothing until it is back.
+     */
+    fun remembered(known: List<MachineType>) {
+        if (!heard) take(known)
+    }
+
+    private fun take(offered: List<MachineType>) {
+        types = offered
+        offered.forEach { typesByName[it.name] = it }
+    }
+
+    suspend fun learnTypes(remember: suspend (List<MachineType>) -> Unit) {
         while (true) {
             val offered = cloud.types()
             if (offered != null) {
-                types = offered
-                offered.forEach { typesByName[it.name] = it }
+                heard = true
+                take(offered)
+                remember(offered)
             }
-            delay(if (types == null) 700 + random.nextLong(600) else TYPES_EVERY_MS)
+            delay(if (!heard) 700 + random.nextLong(600) else TYPES_EVERY_MS)
         }
     }
 
--- a/src/main/kotlin/io/otterknot/state/Keys.kt
+++ b/src/main/kotlin/io/otterknot/state/Keys.kt
@@ -10,6 +10,8 @@
     const val MEANS = "o/s/"
     const val ALLOTMENTS = "o/q/"
 
+    const val TYPES = "o/t"
+
     fun job(id: String) = JOBS + id
     fun done(job: String, zone: String, chunk: Int) = "$DONE$job/$zone/$chunk"
     fun part(zone: String) = PARTS + zone
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -167,8 +167,11 @@
 
     // ---- cloud
 
+    var cloudAway = false
+
     private val cloud = Transport { method, target, body, _ ->
         delay(40)
+        if (cloudAway) return@Transport Reply.Answer(503, """{"error":"trouble"}""".encodeToByteArray())
         val text = body?.decodeToString().orEmpty()
         when {
             target == "/flavors" -> ok(WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(types)))
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -92,6 +92,16 @@
                 delay(5_000)
                 nodes.forEach(::startNode)
             },
+            Case("all controllers restart while the cloud is away") {
+                // Without remembered machine types nothing is placed until the cloud is back.
+                cloudAway = true
+                nodes.forEach(::crash)
+                nodes.forEach(::startNode)
+                val before = starts
+                delay(15_000)
+                if (starts == before) broken.add("nothing_ran while the cloud was away")
+                cloudAway = false
+            },
             Case("one controller stays away") {
                 crash("holt-c")
                 delay(60_000)
