A task leaving for another part is never taken back by a late report

One was just leaving for another part; it was adopted, requeued when the worker's new session was heard, and started here while the other part started it too. Excluded: lease and fence times, the registrations. Test: PartTest 'tasks set aside for another part', seen to need the change.

--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -384,7 +384,9 @@
 
     /** A machine shows a task that an earlier owner started. */
     private fun adopt(machine: Machine, held: PartJob, task: Int, entry: TaskReport, now: Long): Attempt? {
-        if (!held.mine.get(task) || held.active.containsKey(task) || held.fresh.get(task) || held.job.done.get(task)) {
+        // A report that was held back may show a task that has long been given up here and is leaving for another part:
+        // taken back, it would start in both.
+        if (!held.mine.get(task) || held.leaving.get(task) || held.active.containsKey(task) || held.fresh.get(task) || held.job.done.get(task)) {
             log.warn("{}: {} shows {} (attempt {}), which it should not hold", zone, machine.id, entry.task, entry.attempt)
             return null
         }
@@ -423,7 +425,7 @@
 
     private fun requeue(attempt: Attempt) {
         val held = attempt.job
-        if (held.over || !held.mine.get(attempt.task) || held.fresh.get(attempt.task) || held.job.done.get(attempt.task)) return
+        if (held.over || !held.mine.get(attempt.task) || held.leaving.get(attempt.task) || held.active.containsKey(attempt.task) || held.fresh.get(attempt.task) || held.job.done.get(attempt.task)) return
         held.pending.set(attempt.task)
     }
 
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -203,6 +203,10 @@
         assertEquals(4, aside.cardinality())
         part.ready("m1")
         assertEquals(listOf("j-000001/0", "j-000001/1"), part.hear("m1", 7, 10).starts().map { it.task })
+        // A report from before, held back until now, shows one of them on a machine whose lease has ended since.
+        part.hear("m3", 7, 20, TaskReport("j-000001/5", 9, "running"))
+        part.hear("m3", 7, 30, session = 2, seq = 1)
+        assertTrue(!held.pending.get(5) && !held.active.containsKey(5))
         part.settleHandover(held, aside)
         assertEquals(4, held.waiting)
     }
