One place for settled transactions, for unheld tasks and for serving machines

Found on rereading: Handover and Allotments each had the loop that sends a guarded transaction until its outcome is known (now OwnerTxn; its retry pauses are Handover's); the test whether a task may wait stood in three places of Part, which is how one of them came to lack the check whose absence let tasks run twice (now PartJob.unheld); three machine filters were the same (now Machine.serving). Removed: comingCores, RateBudget.room, idleSinceMs, all unused.

--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -9,10 +9,11 @@
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
 import io.otterknot.http.Transport
-import io.otterknot.ownership.Ownership
-import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.ownership.Allotments
 import io.otterknot.ownership.Handover
+import io.otterknot.ownership.OwnerTxn
+import io.otterknot.ownership.Ownership
+import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.peer.Announcer
 import io.otterknot.peer.IdleParts
 import io.otterknot.peer.PeerMessage
@@ -101,8 +102,9 @@
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
         (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
     )
-    private val allotments = Allotments(state, replica, ownership, parts, views, facts.teams, zones, random)
-    private val handover = Handover(state, replica, ownership, parts, views, ::offers, nowMs, random)
+    private val ownerTxn = OwnerTxn(state, replica, ownership, parts, random)
+    private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, facts.teams, zones, random)
+    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val idleParts = IdleParts(views)
     private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -46,9 +46,6 @@
 
     fun type(name: String): MachineType? = typesByName[name]
 
-    /** Cores rented for [zone] that do not report yet. */
-    fun comingCores(zone: String): Double = coming.values.filter { it.zone == zone }.sumOf { it.cores }
-
     /** The cloud itself has said what it offers since this process started. */
     private var heard = false
 
@@ -141,7 +138,7 @@
     }
 
     private fun view(part: Part): FleetView {
-        val own = part.machines.filter { !it.silent && !it.draining && !it.retiring }
+        val own = part.machines.filter { it.serving }
         val expected = coming.values.filter { it.zone == part.zone }
         val bootS = types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
         val share = part.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -7,12 +7,9 @@
 import io.otterknot.state.Amount
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
-import io.otterknot.state.StateClient
-import io.otterknot.state.TxnOutcome
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
-import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
@@ -22,7 +19,7 @@
  * it asks for the transaction, so at no moment can the parts together use more than the limit.
  */
 class Allotments(
-    private val client: StateClient,
+    private val txn: OwnerTxn,
     private val replica: Replica,
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
@@ -71,42 +68,20 @@
         val entry = replica[key]
         val record = of(team)
         val mine = record.byZone[part.zone] ?: return
-        val owner = Guard(Keys.part(part.zone), part.token)
         giving.add(part.zone to team)
         part.allot(team, mine - amount)
         try {
             val change = Change(put = key, value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount)))
-            while (parts[part.zone] === part) {
-                client.budget.take(1)
-                when (val outcome = client.txn(listOf(Guard(key, entry?.version ?: 0), owner), listOf(change))) {
-                    is TxnOutcome.Applied -> {
-                        log.info("{} gives {} of {} to {}", part.zone, amount, team, to)
-                        awaitReplica(outcome.revision, part)
-                        return
-                    }
-                    // The key has changed, by this transaction carried out before or by another part's gift.
-                    is TxnOutcome.Conflict -> {
-                        if (owner.key in outcome.failed) ownership.superseded(part.zone)
-                        awaitReplica(outcome.revision, part)
-                        return
-                    }
-                    is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(500 + random.nextLong(500))
-                }
-            }
+            val settled = txn.settle(part, entry?.version ?: 0, change)
+            log.info("{} gives {} of {} to {}: {}", part.zone, amount, team, to, settled)
         } finally {
             giving.remove(part.zone to team)
             changed(team)
         }
     }
 
-    private suspend fun awaitReplica(revision: Long, part: Part) {
-        while (parts[part.zone] === part && !replica.reach(revision, REACH_MS)) delay(RETRY_MS)
-    }
-
     private companion object {
         const val EVERY_MS = 1_000L
         const val LEAST = 1e-3
-        const val REACH_MS = 2_000L
-        const val RETRY_MS = 100L
     }
 }
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -5,13 +5,9 @@
 import io.otterknot.placement.PartView
 import io.otterknot.state.JobRecord
 import io.otterknot.state.Keys
-import io.otterknot.state.Replica
 import io.otterknot.state.Spans
-import io.otterknot.state.StateClient
-import io.otterknot.state.TxnOutcome
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
-import io.otterknot.wire.Guard
 import io.otterknot.wire.JobSpec
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
@@ -23,8 +19,7 @@
  * on the job and its part's key; until the outcome is known the tasks belong to nobody's queue.
  */
 class Handover(
-    private val client: StateClient,
-    private val replica: Replica,
+    private val txn: OwnerTxn,
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
     private val views: Map<String, PartView>,
@@ -76,33 +71,10 @@
         }
         val key = Keys.job(held.id)
         val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
-        val owner = Guard(Keys.part(part.zone), part.token)
-        while (parts[part.zone] === part) {
-            client.budget.take(1)
-            when (val outcome = client.txn(listOf(Guard(key, version), owner), listOf(Change(put = key, value = value)))) {
-                is TxnOutcome.Applied -> {
-                    log.debug("{}: {} tasks of {} go to {}", part.zone, tasks.cardinality(), held.id, zone)
-                    if (settled(outcome.revision, part)) part.settleHandover(held, tasks)
-                    return
-                }
-                // The job's key has changed, by this transaction or another: its version rules out a late one.
-                is TxnOutcome.Conflict -> {
-                    if (owner.key in outcome.failed) ownership.superseded(part.zone)
-                    if (settled(outcome.revision, part)) part.settleHandover(held, tasks)
-                    return
-                }
-                // It may still be carried out. The same one again tells: it applies, or the key has changed.
-                is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(400 + random.nextLong(600))
-            }
-        }
-    }
-
-    /** Waits until the replica shows the outcome, for as long as the part is ours. */
-    private suspend fun settled(revision: Long, part: Part): Boolean {
-        while (parts[part.zone] === part) {
-            if (replica.reach(revision, REACH_MS)) return true
-        }
-        return false
+        val settled = txn.settle(part, version, Change(put = key, value = value))
+        if (settled == OwnerTxn.Settled.PART_LOST) return
+        log.debug("{}: {} tasks of {} to {}: {}", part.zone, tasks.cardinality(), held.id, zone, settled)
+        part.settleHandover(held, tasks)
     }
 
     private companion object {
@@ -110,6 +82,5 @@
         const val MOVES = 3
         const val MIN_GAP = 0.15
         const val MAX_SPANS = 48
-        const val REACH_MS = 2_000L
     }
 }
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -0,0 +1,55 @@
+package io.otterknot.ownership
+
+import io.otterknot.placement.Part
+import io.otterknot.state.Keys
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.TxnOutcome
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import kotlinx.coroutines.delay
+import kotlin.random.Random
+
+/** A change by a part's owner that must be settled before the owner goes on. */
+class OwnerTxn(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val ownership: Ownership,
+    private val parts: Map<String, Part>,
+    private val random: Random,
+) {
+    enum class Settled { APPLIED, NOT_APPLIED, PART_LOST }
+
+    /**
+     * Sends [change], guarded by its key's [version] and the part's key, until it is applied or surely never will be,
+     * and waits until the replica shows which. A missing answer is settled by the same transaction again: it applies,
+     * or the key has changed, by the first one carried out after all or by another; a late one is then ruled out.
+     */
+    suspend fun settle(part: Part, version: Long, change: Change): Settled {
+        val owner = Guard(Keys.part(part.zone), part.token)
+        while (parts[part.zone] === part) {
+            client.budget.take(1)
+            when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
+                is TxnOutcome.Applied -> return shown(outcome.revision, part, Settled.APPLIED)
+                is TxnOutcome.Conflict -> {
+                    if (owner.key in outcome.failed) ownership.superseded(part.zone)
+                    return shown(outcome.revision, part, Settled.NOT_APPLIED)
+                }
+                is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(400 + random.nextLong(600))
+            }
+        }
+        return Settled.PART_LOST
+    }
+
+    /** Waits until the replica shows the outcome, for as long as the part is ours. */
+    private suspend fun shown(revision: Long, part: Part, settled: Settled): Settled {
+        while (parts[part.zone] === part) {
+            if (replica.reach(revision, REACH_MS)) return settled
+        }
+        return Settled.PART_LOST
+    }
+
+    private companion object {
+        const val REACH_MS = 2_000L
+    }
+}
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -39,7 +39,6 @@
     /** When the last report that got an answer came in: the machine's lease is counted from no later than this. */
     var answeredMs = 0L
     var firstSeenMs = 0L
-    var idleSinceMs = 0L
     var silent = false
     val attempts = Long2ObjectLinkedOpenHashMap<Attempt>()
     val images = LinkedHashSet<String>()
@@ -61,7 +60,9 @@
     var freeing = Amounts()
     var held = Amounts()
 
-    val usable: Boolean get() = reconciled && registered && !draining && !silent && !retiring
+    /** Part of what this part has to work with, whether or not it may get a task already. */
+    val serving: Boolean get() = !draining && !silent && !retiring
+    val usable: Boolean get() = reconciled && registered && serving
 
     fun roomFor(spec: JobSpec): Boolean =
         usedCores + spec.cores <= type.cores + EPS &&
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -251,7 +251,6 @@
             machineList.add(it)
             it.registered = it.id in registered
             it.firstSeenMs = now
-            it.idleSinceMs = now
         }
         // Packets may be held back and delivered late: only a newer report says anything.
         if (report.session < machine.session || (report.session == machine.session && report.seq <= machine.seq)) {
@@ -288,7 +287,6 @@
         if (suspects.remove(machine.id) != null) settle(now)
         val free = machine.attempts.isEmpty()
         machine.reported(machine.bookedShare(), free && machine.usable)
-        if (!free) machine.idleSinceMs = now
         place(now)
         for (attempt in machine.attempts.values) {
             when {
@@ -371,13 +369,13 @@
             // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a job
             // that fails everywhere says nothing of machines, but must not keep them all busy.
             val others = machine.failedJobs.size >= 2
-            if (others && machine.failures >= FAULTY || machine.failures >= FAULTY && !held.job.done.isEmpty) machine.draining = true
+            if (machine.failures >= FAULTY && (others || !held.job.done.isEmpty)) machine.draining = true
             if (held.failures > 3) held.retryAtMs = now + minOf(30_000L, 500L shl minOf(held.failures, 10))
         }
         if (known != null) {
             if (entry.cause != ExitCause.ERROR && entry.cause != "stopped") log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
             requeue(known)
-        } else if (held.mine.get(task) && !held.active.containsKey(task) && !held.fresh.get(task) && !held.job.done.get(task) && !held.leaving.get(task) && !held.doubtful.get(task)) {
+        } else if (held.unheld(task) && !held.doubtful.get(task)) {
             held.pending.set(task)
         }
     }
@@ -386,7 +384,7 @@
     private fun adopt(machine: Machine, held: PartJob, task: Int, entry: TaskReport, now: Long): Attempt? {
         // A report that was held back may show a task that has long been given up here and is leaving for another part:
         // taken back, it would start in both.
-        if (!held.mine.get(task) || held.leaving.get(task) || held.active.containsKey(task) || held.fresh.get(task) || held.job.done.get(task)) {
+        if (!held.unheld(task)) {
             log.warn("{}: {} shows {} (attempt {}), which it should not hold", zone, machine.id, entry.task, entry.attempt)
             return null
         }
@@ -425,17 +423,16 @@
 
     private fun requeue(attempt: Attempt) {
         val held = attempt.job
-        if (held.over || !held.mine.get(attempt.task) || held.leaving.get(attempt.task) || held.active.containsKey(attempt.task) || held.fresh.get(attempt.task) || held.job.done.get(attempt.task)) return
-        held.pending.set(attempt.task)
+        if (!held.over && held.unheld(attempt.task)) held.pending.set(attempt.task)
     }
 
     // ---- placement --------------------------------------------------------------------------------------------
 
     /** Places what waits: the most urgent priority first, its teams in turn by shares, and a team's jobs in order. */
     fun place(now: Long) {
-        val order = inOrder(now)
         val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
         if (waiting.isEmpty()) return
+        val order = inOrder(now)
         val usable = machines.filter { it.usable }
         ordinaryWork = jobs.any { !it.spec.spot }
         for (machine in usable) {
@@ -495,7 +492,7 @@
         val team = teamIndex.getInt(spec.team)
         if (team < 0) return false
         val left = leftover(team)
-        return spec.cores <= left.cores + Machine.EPS && spec.cards <= left.cards + Machine.EPS
+        return left.covers(spec)
     }
 
     /**
@@ -514,6 +511,8 @@
         return Amount(cores, cards)
     }
 
+    private fun Amount.covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.cards <= cards + Machine.EPS
+
     fun allot(name: String, allotment: Amount) {
         val team = teamIndex.getInt(name)
         if (team >= 0) teams[team].allotment = allotment
@@ -525,7 +524,7 @@
         if (team < 0) return Amount()
         val left = leftover(team)
         val waiting = jobs.filter { it.spec.team == name && !it.pending.isEmpty }
-        if (waiting.all { it.spec.cores <= left.cores + Machine.EPS && it.spec.cards <= left.cards + Machine.EPS }) return Amount()
+        if (waiting.all { left.covers(it.spec) }) return Amount()
         return Amount(
             maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cores } - left.cores),
             maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cards } - left.cards),
@@ -541,8 +540,7 @@
         if (team < 0 || !settled) return Amount()
         val left = leftover(team)
         val waiting = jobs.filter { it.spec.team == name && !it.pending.isEmpty }
-        val useless = to < zone && waiting.isNotEmpty() &&
-            waiting.none { it.spec.cores <= left.cores + Machine.EPS && it.spec.cards <= left.cards + Machine.EPS }
+        val useless = to < zone && waiting.isNotEmpty() && waiting.none { left.covers(it.spec) }
         if (useless) return Amount(maxOf(0.0, left.cores), maxOf(0.0, left.cards))
         return Amount(
             maxOf(0.0, left.cores - waiting.sumOf { it.waiting * it.spec.cores }),
@@ -614,9 +612,9 @@
     fun demand(of: (JobSpec) -> Boolean): Double =
         jobs.filter { of(it.spec) }.sumOf { it.waitingCores + it.active.size * it.spec.cores }
 
-    val totalCores: Double get() = machines.filter { !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
+    val totalCores: Double get() = machines.filter { it.serving }.sumOf { it.type.cores }
 
-    val ordinaryCores: Double get() = machines.filter { !it.spot && !it.silent && !it.draining && !it.retiring }.sumOf { it.type.cores }
+    val ordinaryCores: Double get() = machines.filter { !it.spot && it.serving }.sumOf { it.type.cores }
 
     fun ordinaryMean(): Double = demand { !it.spot } / maxOf(ordinaryCores, 1.0)
 
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -29,6 +29,10 @@
     /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
     val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
 
+    /** Ours and on no machine that we know of, not completed and not leaving: it may wait here, if it is not in doubt. */
+    fun unheld(task: Int): Boolean =
+        mine.get(task) && !leaving.get(task) && !active.containsKey(task) && !fresh.get(task) && !job.done.get(task)
+
     val waitingCores: Double get() = (waiting + doubtful.cardinality()) * spec.cores
     val waiting: Int get() = pending.cardinality()
 }
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -56,9 +56,4 @@
         fill()
         requests.level -= 1
     }
-
-    fun room(): Int {
-        fill()
-        return changes.level.toInt()
-    }
 }
