--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -39,14 +39,17 @@
     private val types: () -> List<MachineType>?,
     private val teams: List<TeamFacts>,
     private val maxValueBytes: Int,
-    private val maxChanges: Int,
+    private val isolated: () -> Boolean,
     private val wallMs: () -> Long,
     private val random: Random,
 ) {
     private val log = LoggerFactory.getLogger(UserApi::class.java)
 
-    fun ready(): HttpResponse =
-        if (replica.loaded && types() != null) HttpResponse(200, "{}".encodeToByteArray()) else later("starting")
+    fun ready(): HttpResponse = when {
+        !replica.loaded || types() == null -> later("starting")
+        isolated() -> later("cut off from the state service and from all other controllers")
+        else -> HttpResponse(200, "{}".encodeToByteArray())
+    }
 
     suspend fun submit(body: ByteArray): HttpResponse {
         val id = peekId(body)
@@ -98,9 +101,8 @@
             if (!client.budget.tryTake(1, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
             val key = Keys.job(id)
             val record = JobRecord(final = Final.CANCELLED, tasks = job.spec?.tasks ?: 0)
-            val changes = listOf(Change(put = key, value = encodeRecord(JobRecord.serializer(), record))) +
-                job.doneKeys.take(maxChanges - 1).map { Change(remove = it) }
-            when (val outcome = client.txn(listOf(Guard(key, job.version)), changes)) {
+            val change = Change(put = key, value = encodeRecord(JobRecord.serializer(), record))
+            when (val outcome = client.txn(listOf(Guard(key, job.version)), listOf(change))) {
                 is TxnOutcome.Applied -> {
                     replica.reach(outcome.revision, REACH_MS)
                     log.info("{} is cancelled", id)
@@ -166,7 +168,8 @@
 
     private fun unknown(id: String) = HttpResponse.refusal(404, "no job $id")
 
-    private fun later(why: String) = HttpResponse.refusal(503, why, retryAfterS = 1)
+    /** An isolated node lets go of the connection too: nobody moves it, and here it would get 503 after 503. */
+    private fun later(why: String) = HttpResponse.refusal(503, why, retryAfterS = 1, close = isolated())
 
     private companion object {
         const val SUBMIT_WAIT_MS = 1_000L
--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -8,6 +8,7 @@
 import io.otterknot.fleet.FleetPolicy
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
+import io.otterknot.http.Reply
 import io.otterknot.http.Transport
 import io.otterknot.ownership.Allotments
 import io.otterknot.ownership.Handover
@@ -17,6 +18,7 @@
 import io.otterknot.peer.Announcer
 import io.otterknot.peer.IdleParts
 import io.otterknot.peer.PeerMessage
+import io.otterknot.peer.PeerRelay
 import io.otterknot.peer.PeerTransport
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
@@ -25,14 +27,17 @@
 import io.otterknot.placement.PartView
 import io.otterknot.placement.TeamShare
 import io.otterknot.state.Amount
+import io.otterknot.state.Contact
 import io.otterknot.state.Entry
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
-import io.otterknot.state.MachineRecord
+import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
 import io.otterknot.state.RateBudget
+import io.otterknot.state.Relays
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
+import io.otterknot.state.StateLink
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
@@ -42,12 +47,12 @@
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.MachineTypes
 import io.otterknot.workers.ReportDoor
+import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
-import kotlin.random.Random
 
 /** How a controller reaches the others and the services; tests give stand-ins. */
 class Links(val state: Transport, val watch: Transport, val cloud: Transport, val peers: Map<String, PeerTransport>)
@@ -64,11 +69,15 @@
     private val facts = settings.facts
     private val nodes = maxOf(facts.nodes, settings.members.size + 1)
     private val zones = facts.zones
-    private val budget = RateBudget(SHARE * facts.state.rps / nodes, SHARE * facts.state.writeRps / nodes, nowMs)
-    private val state = StateClient(links.state, links.watch, budget)
+    private val budget = RateBudget(facts.state.rps, facts.state.writeRps, nowMs) { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) }
+    private val contact = Contact(nowMs)
+    private val relays = Relays(links.peers.values.map(::PeerRelay), random, nowMs)
+    private val stateLink = StateLink(links.state, contact, relays)
+    private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget)
+    private val directState = links.state
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
-    private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(50, 250))
+    private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
     private val jobs = JobTable()
     private val parts = LinkedHashMap<String, Part>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
@@ -81,7 +90,7 @@
     private val claimed = ArrayList<Pair<String, Long>>()
     private val cloud = CloudClient(
         links.cloud,
-        RateBudget(SHARE * facts.cloud.rps / nodes, 1.0, nowMs),
+        RateBudget(facts.cloud.rps, 1.0, nowMs) { RateBudget.Share(share(EVEN_CALLS), 1.0) },
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
     private val aims = Aims(
@@ -89,30 +98,37 @@
     )
     private val fleet = Fleet(
         cloud, ownership, parts,
-        FleetPolicy(MAX_MACHINES_PER_PART), aims,
+        FleetPolicy(), aims,
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
     private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.txnOps, MAX_BATCH))
     private val keeper = Keeper(
-        state, replica, jobs, parts, ownership, writer, budget, facts.state.txnOps,
+        state, replica, jobs, parts, ownership, writer, budget, minOf((facts.state.valueKb * 512).toInt(), MAX_RECORD_BYTES),
         facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, nowMs,
     )
     private val users = UserApi(
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
-        (facts.state.valueKb * 1024).toInt(), facts.state.txnOps, wallMs, random,
+        (facts.state.valueKb * 1024).toInt(), ::isolated, wallMs, random,
     )
     private val ownerTxn = OwnerTxn(state, replica, ownership, parts, random)
     private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, facts.teams, zones, random)
     private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, nowMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
-    private val idleParts = IdleParts(views)
+    private val idleParts = IdleParts(views) { contact.sound }
     private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
 
+    /**
+     * This node's share of a limit: [even] of it goes evenly to all nodes, the rest with the parts, since their owners
+     * have the work. One node at a time may act for a part, so the shares never pass the whole together.
+     */
+    private fun share(even: Double): Double = SHARE * (even / nodes + (1 - even) * ownership.ownedShare())
+
     /** Runs until cancelled. */
     suspend fun run() = coroutineScope {
         replica.onChange = ::changed
         replica.onBatch = ::takeUpClaims
+        duty("contact") { stateLink.probe() }
         duty("replica") { replica.follow() }
         duty("barrier") { replica.serveBarrier() }
         duty("lease") { ownership.keepLease() }
@@ -125,10 +141,14 @@
         duty("allotments") { allotments.share() }
         duty("announcements") { announcer.announce() }
         duty("sweep") {
+            var slowUntilMs = Long.MIN_VALUE
             while (true) {
+                val before = nowMs()
                 delay(SWEEP_MS)
+                val now = nowMs()
+                if (now - before > SWEEP_MS + SLOW_MS) slowUntilMs = now + SLOW_FOR_MS
                 takeUpClaims()
-                parts.values.forEach { it.sweep(nowMs()) }
+                parts.values.forEach { it.sweep(now, slow = now < slowUntilMs) }
             }
         }
     }
@@ -147,7 +167,20 @@
         }
     }
 
-    fun peer(message: PeerMessage): PeerMessage = idleParts.take(message, nowMs())
+    suspend fun peer(message: PeerMessage): PeerMessage =
+        if (message is PeerMessage.Carry) carry(message) else idleParts.take(message, nowMs())
+
+    /** Asks the state service for another controller, which has taken the request out of its own share. */
+    private suspend fun carry(message: PeerMessage.Carry): PeerMessage {
+        val reply = if (contact.sound) directState.call(message.method, message.target, message.body, message.timeoutMs.toLong()) else null
+        return if (reply is Reply.Answer) PeerMessage.Carried(reply.status, reply.body) else PeerMessage.Carried(0, ByteArray(0))
+    }
+
+    /**
+     * Neither the state service nor any other controller answers this node: its users are better off elsewhere. When
+     * others answer but have lost the service too, all are in the same position and leaving would help nobody.
+     */
+    private fun isolated(): Boolean = contact.lost.value && relays.alone && nowMs() - contact.goodMs > ISOLATED_MS
 
     /** Answers a request of a user, a worker or the load balancer. */
     suspend fun route(request: HttpRequest): HttpResponse {
@@ -169,17 +202,15 @@
 
     private fun changed(key: String, entry: Entry?) {
         when {
-            key.startsWith(Keys.JOBS) || key.startsWith(Keys.DONE) -> {
-                val job = jobs.change(key, entry) ?: return
-                if (key.startsWith(Keys.JOBS)) {
-                    parts.values.forEach { it.updateJob(job, inherited = false) }
-                } else {
-                    parts.values.forEach { it.updateDone(job) }
-                }
+            key.startsWith(Keys.JOBS) -> {
+                val job = jobs.changeJob(key, entry)
+                parts.values.forEach { it.updateJob(job, inherited = false) }
             }
+            key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) parts.values.forEach { it.updateDone(job) }
             key.startsWith(Keys.MACHINES) -> {
-                val (zone, machine) = key.substring(Keys.MACHINES.length).split('/', limit = 2)
-                parts[zone]?.registeredNow(machine, entry != null)
+                val zone = key.substring(Keys.MACHINES.length).substringBefore('/')
+                val part = parts[zone] ?: return
+                part.registeredNow(registered(zone).keys)
             }
             key == Keys.TYPES -> if (entry != null) fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
             key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
@@ -217,9 +248,7 @@
         claimed.removeAll(due)
         for ((zone, token) in due) {
             if (ownership.claimed(zone) != token) continue
-            val registered = replica.under(Keys.MACHINES + zone + "/").associate { (key, entry) ->
-                key.substringAfterLast('/') to decodeRecord(MachineRecord.serializer(), entry.value).type
-            }
+            val registered = registered(zone)
             val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(zone), registered)
             jobs.live.values.forEach { part.updateJob(it, inherited = true) }
             parts[zone] = part
@@ -227,6 +256,13 @@
         }
     }
 
+    /** The machines that may hold tasks of a part, with their types. */
+    private fun registered(zone: String): Map<String, String> {
+        val types = HashMap<String, String>()
+        for ((_, entry) in replica.under(Keys.machines(zone))) types.putAll(decodeRecord(MachinesRecord.serializer(), entry.value).types)
+        return types
+    }
+
     private fun aim(objective: Objective): Aim? = when (objective.kind) {
         "wait" -> objective.withinS?.let { Aim.Started(it, objective.share ?: 0.5) }
         "finished" -> objective.withinS?.let(Aim::Finished)
@@ -245,9 +281,15 @@
         const val JOB_PATH = "/submissions/"
         const val WITHDRAW = "/withdraw"
         const val SHARE = 0.92
+        const val EVEN_REQUESTS = 0.7
+        const val EVEN_CHANGES = 0.4
+        const val EVEN_CALLS = 0.25
         const val MAX_BATCH = 16
-        const val MAX_MACHINES_PER_PART = 48
+        const val MAX_RECORD_BYTES = 4_000
+        const val ISOLATED_MS = 3_500L
         const val SWEEP_MS = 500L
+        const val SLOW_MS = 1_500L
+        const val SLOW_FOR_MS = 5_000L
         const val DUTY_PAUSE_MS = 500L
     }
 }
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -2,15 +2,17 @@
 
 import io.otterknot.ownership.Ownership
 import io.otterknot.placement.Part
+import io.otterknot.state.DoneRecord
 import io.otterknot.state.Final
 import io.otterknot.state.Job
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
-import io.otterknot.state.MachineRecord
+import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Replica
+import io.otterknot.state.Segments
 import io.otterknot.state.StateClient
 import io.otterknot.state.TaskBits
 import io.otterknot.state.TxnOutcome
@@ -21,8 +23,6 @@
 import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.contentOrNull
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 import kotlin.math.abs
@@ -36,7 +36,8 @@
     private val ownership: Ownership,
     private val writer: Writer,
     private val budget: RateBudget,
-    private val maxChanges: Int,
+    /** The most bytes that the records of one key may take. */
+    private val maxBytes: Int,
     private val teams: List<String>,
     private val nowMs: () -> Long,
 ) {
@@ -56,66 +57,115 @@
         }
     }
 
-    private fun wishes(part: Part): List<Wish> {
-        val wishes = ArrayList<Wish>()
-        for (machine in part.unregistered()) {
-            wishes.add(Wish(Keys.machine(part.zone, machine.id), encodeRecord(MachineRecord.serializer(), MachineRecord(machine.type.name))))
+    /** The most pressing first: a batch may not take all. */
+    private fun wishes(part: Part): List<Wish> = machines(part) + completions(part) + listOfNotNull(mean(part))
+
+    // ---- machines
+
+    private fun machines(part: Part): List<Wish> {
+        val fresh = part.unregistered()
+        if (fresh.isEmpty() && part.retired.isEmpty()) return emptyList()
+        val kept = sortedMapOf<Int, Map<String, String>>()
+        for ((key, entry) in replica.under(Keys.machines(part.zone))) {
+            kept[key.substringAfterLast('/').toInt()] = decodeRecord(MachinesRecord.serializer(), entry.value).types
         }
+        val room = maxBytes / MACHINE_BYTES
+        val changed = Segments.spread(kept, part.retired, fresh.associate { it.id to it.type.name }, room)
+        return changed.map { (segment, types) ->
+            val value = if (types.isEmpty()) null else encodeRecord(MachinesRecord.serializer(), MachinesRecord(types))
+            Wish(Keys.machines(part.zone, segment), value)
+        }
+    }
+
+    // ---- completions
+
+    /**
+     * Completions of all jobs go to one segment until it is full; what is said there of jobs that are over is dropped
+     * with the next change. A segment that says nothing any more is removed.
+     */
+    private fun completions(part: Part): List<Wish> {
+        val prefix = Keys.done(part.zone, "")
+        val segments = jobs.segments(prefix)
+        val wishes = ArrayList<Wish>()
+        val fresh = LinkedHashMap<String, BitSet>()
         for (held in part.jobs) {
-            var next = held.fresh.nextSetBit(0)
-            while (next >= 0) {
-                val chunk = next / TaskBits.CHUNK
-                wishes.add(completions(part, held.job, held.fresh, chunk))
-                next = held.fresh.nextSetBit((chunk + 1) * TaskBits.CHUNK)
+            if (held.fresh.isEmpty) continue
+            for (chunk in 0..(held.fresh.length() - 1) / TaskBits.CHUNK) fresh[TaskBits.name(held.id, chunk)] = held.fresh
+        }
+        var number = segments.keys.filter { it.startsWith("$prefix${part.token}-") }.maxOfOrNull { it.substringAfterLast('-').toInt() } ?: 0
+        fun key() = Keys.done(part.zone, "${part.token}-$number")
+        val open = key()
+        if (fresh.isNotEmpty()) {
+            var bits = segments[open].orEmpty().filterKeys(jobs::matters).toMutableMap()
+            var bytes = bits.entries.sumOf { size(it.key, it.value) }
+            for ((name, tasks) in fresh) {
+                val all = tasks.clone() as BitSet
+                val chunk = TaskBits.chunk(name)
+                bits[name]?.let { TaskBits.decodeInto(it, chunk, all) }
+                val text = TaskBits.encode(all, chunk)
+                val more = size(name, text) - (bits[name]?.let { size(name, it) } ?: 0)
+                if (bytes + more > maxBytes && bits.isNotEmpty()) {
+                    wishes.add(wish(key(), bits))
+                    number++
+                    bits = HashMap()
+                    bytes = 0
+                }
+                bits[name] = text
+                bytes += more
             }
+            wishes.add(wish(key(), bits))
+        }
+        for ((key, bits) in segments) {
+            if (wishes.none { it.key == key } && bits.keys.none(jobs::matters)) wishes.add(Wish(key, null))
         }
-        // A machine that is gone for good is no suspect for the next owner.
-        for (id in part.retired) wishes.add(Wish(Keys.machine(part.zone, id), null))
-        mean(part)?.let(wishes::add)
         return wishes
     }
 
-    private fun completions(part: Part, job: Job, fresh: BitSet, chunk: Int): Wish {
-        val key = Keys.done(job.id, part.zone, chunk)
-        val bits = fresh.clone() as BitSet
-        (replica[key]?.value as? JsonPrimitive)?.contentOrNull?.let { TaskBits.decodeInto(it, chunk, bits) }
-        return Wish(key, JsonPrimitive(TaskBits.encode(bits, chunk)))
-    }
+    private fun size(name: String, text: String) = name.length + text.length + 6
+
+    private fun wish(key: String, bits: Map<String, String>) = Wish(key, encodeRecord(DoneRecord.serializer(), DoneRecord(bits)))
+
+    // ---- means
 
     /** The part's mean, once it has moved by a tenth and at most every two seconds. */
     private fun mean(part: Part): Wish? {
+        val now = nowMs()
+        if (now - (meanSentMs[part.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
         val key = Keys.mean(part.zone)
         val told = replica[key]?.let { decodeRecord(MeanRecord.serializer(), it.value) }
         val mean = round(part.mean())
         val ordinary = round(part.ordinaryMean())
         val needs = teams.associateWith { part.need(it) }.filterValues { it.cores > 0 || it.cards > 0 }
         if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP && told.needs == needs) return null
-        val now = nowMs()
-        if (now - (meanSentMs[part.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
         meanSentMs[part.zone] = now
         return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores, needs)))
     }
 
+    // ---- finished jobs
+
     /** The owner of a job's home part makes it final once the completions of all its tasks are durable. */
     private suspend fun finishJobs() {
-        for (job in jobs.live.values.filter { it.complete }) {
-            val home = job.record?.homeZone ?: continue
-            val owner = ownership.guard(home) ?: continue
-            val tasks = job.spec?.tasks ?: continue
-            val key = Keys.job(job.id)
-            val record = JobRecord(final = Final.DONE, tasks = tasks)
-            val changes = ArrayList<Change>()
-            changes.add(Change(put = key, value = encodeRecord(JobRecord.serializer(), record)))
-            job.doneKeys.take(maxChanges - 1).forEach { changes.add(Change(remove = it)) }
-            budget.take(changes.size)
-            when (val outcome = client.txn(listOf(Guard(key, job.version), owner), changes)) {
-                is TxnOutcome.Applied -> {
-                    log.debug("{} is done", job.id)
-                    replica.reach(outcome.revision, REACH_MS)
-                }
-                is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
-                is TxnOutcome.Refused, is TxnOutcome.Unknown -> return
+        val complete = jobs.live.values.filter { job -> job.complete && job.record?.homeZone?.let(ownership::claimed) != null }
+        for ((home, ended) in complete.groupBy { it.record?.homeZone.orEmpty() }) {
+            for (batch in ended.chunked(minOf(budget.most, BATCH))) if (!finish(home, batch)) return
+        }
+    }
+
+    private suspend fun finish(home: String, batch: List<Job>): Boolean {
+        val owner = ownership.guard(home) ?: return true
+        budget.takeSpare(batch.size)
+        val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
+        val changes = batch.map { job ->
+            Change(put = Keys.job(job.id), value = encodeRecord(JobRecord.serializer(), JobRecord(final = Final.DONE, tasks = job.spec?.tasks ?: job.record?.tasks ?: 0)))
+        }
+        return when (val outcome = client.txn(guards, changes)) {
+            is TxnOutcome.Applied -> {
+                log.debug("done: {}", batch.map { it.id })
+                replica.reach(outcome.revision, REACH_MS)
             }
+            // Some job was cancelled or handed on meanwhile; what the replica then shows is tried again.
+            is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
+            is TxnOutcome.Refused, is TxnOutcome.Unknown -> false
         }
     }
 
@@ -126,5 +176,7 @@
         const val MEAN_STEP = 0.1
         const val MEAN_EVERY_MS = 2_000L
         const val REACH_MS = 1_500L
+        const val BATCH = 8
+        const val MACHINE_BYTES = 40
     }
 }
--- a/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
+++ b/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
@@ -113,7 +113,7 @@
         path.startsWith("/holds") -> ok("""{"Tenure":1}""")
         path == "/store" -> ok(
             """{"Pairs":[{"Key":"o/j/j-000001","V":{"s":$JOB,"a":[{"z":"a","f":0,"u":2}],"t":1},"Mark":4},""" +
-                """{"Key":"o/m/a/m-000001","V":{"t":"g"},"Mark":4},{"Key":"o/s/a","V":{"m":0.1,"c":16.0},"Mark":4}],"More":false,"Tide":5}""",
+                """{"Key":"o/m/a/0","V":{"m":{"m-000001":"g"}},"Mark":4},{"Key":"o/d/a/4-0","V":{"d":{"j-000001":"AQ"}},"Mark":4},{"Key":"o/s/a","V":{"m":0.1,"c":16.0},"Mark":4}],"More":false,"Tide":5}""",
         )
         else -> HttpResponse(404, """{"Tide":6}""".encodeToByteArray())
     }
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -38,6 +38,7 @@
     private val open = ArrayList<Open>()
     private val recentDemand = HashMap<String, RecentDemand>()
     private val gone = HashSet<String>()
+    private val unreachableMs = HashMap<String, Long>()
     private var counter = 0L
 
     var types: List<MachineType>? = null
@@ -82,11 +83,14 @@
             for (zone in parts.keys.toList()) {
                 val part = parts[zone] ?: continue
                 if (ownership.token(zone) != part.token) continue
-                part.machines.forEach { if (it.reconciled) coming.remove(it.id) }
+                part.machines.forEach { coming.remove(it.id) }
                 release(part.hung(nowMs(), maxOf(HUNG_REPORTS * reportMs, HUNG_MS)), "hung")
-                retire(part)
+                returnUnreachable(part)
+                part.machines.forEach { it.retiring = false }
+                val view = view(part)
+                retire(part, view)
                 returnIdle(part)
-                if (open.none { it.request.zone == zone }) rent(part, offered)
+                if (open.none { it.request.zone == zone } && !cutOff(part)) rent(part, view, offered)
             }
         }
     }
@@ -102,9 +106,8 @@
         }
     }
 
-    private suspend fun rent(part: Part, offered: List<MachineType>) {
+    private suspend fun rent(part: Part, view: FleetView, offered: List<MachineType>) {
         val zone = part.zone
-        val view = view(part)
         val now = nowMs()
         val rents = policy.rent(view, offered, zone) { (closedUntil[zone to it] ?: 0L) > now }
         for (rent in rents) {
@@ -138,8 +141,24 @@
     }
 
     private fun view(part: Part): FleetView {
-        val own = part.machines.filter { it.serving }
-        val expected = coming.values.filter { it.zone == part.zone }
+        var ordinary = 0.0
+        var total = 0.0
+        for (machine in part.machines) {
+            if (!machine.serving || machine.deaf) continue
+            total += machine.type.cores
+            if (!machine.spot) ordinary += machine.type.cores
+        }
+        // Machines that an earlier owner had are heard of only by and by: before that, all would seem to be missing.
+        for (type in part.unheard()) {
+            val cores = type(type)?.cores ?: 0.0
+            total += cores
+            ordinary += cores
+        }
+        for (expected in coming.values) {
+            if (expected.zone != part.zone) continue
+            total += expected.cores
+            if (!expected.kind.spot) ordinary += expected.cores
+        }
         val bootS = types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
         val share = part.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
         val recent = recentDemand.getOrPut(part.zone) { RecentDemand() }
@@ -149,13 +168,7 @@
             val prompt = part.demand { of(it) && aims.readyShare(it, bootS) > 0 }
             return window.note(nowMs(), prompt, recent.share) + part.demand(of) - prompt
         }
-        return FleetView(
-            ordinaryDemand = wanted(recent.ordinary) { !it.spot },
-            totalDemand = wanted(recent.total) { true },
-            ordinarySupply = own.filter { !it.spot }.sumOf { it.type.cores } + expected.filter { !it.kind.spot }.sumOf { it.cores },
-            totalSupply = own.sumOf { it.type.cores } + expected.sumOf { it.cores },
-            machines = own.size + expected.size,
-        )
+        return FleetView(wanted(recent.ordinary) { !it.spot }, wanted(recent.total) { true }, ordinary, total)
     }
 
     /**
@@ -163,20 +176,30 @@
      * can do without is emptied first, the least loaded machine before others, and taken back into use if demand
      * returns before it is empty.
      */
-    private fun retire(part: Part) {
-        for (machine in part.machines.filter { it.retiring }) machine.retiring = false
+    private fun retire(part: Part, whole: FleetView) {
+        var view = whole
         val candidates = part.machines.filter { it.usable && nowMs() - it.firstSeenMs > KEEP_MS }
             .sortedWith(compareBy<Machine> { it.spot }.thenBy { it.bookedShare() })
+        var retiring = 0
         for (machine in candidates) {
-            if (policy.spares(view(part), machine.spot, machine.type.cores)) machine.retiring = true
-        }
-        if (log.isDebugEnabled) {
-            val view = view(part)
-            log.debug(
-                "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring", part.zone, view.totalDemand,
-                view.ordinaryDemand, view.totalSupply, view.ordinarySupply, part.machines.size, part.machines.count { it.retiring },
-            )
+            if (!policy.spares(view, machine.spot, machine.type.cores)) continue
+            machine.retiring = true
+            retiring++
+            view = view.without(machine.spot, machine.type.cores)
         }
+        log.debug(
+            "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring", part.zone, whole.totalDemand,
+            whole.ordinaryDemand, whole.totalSupply, whole.ordinarySupply, part.machines.size, retiring,
+        )
+    }
+
+    /** Not all at once: should it be the way there that is broken, others would fare no better. */
+    private suspend fun returnUnreachable(part: Part) {
+        val lost = part.unreachable()
+        val now = nowMs()
+        if (lost.isEmpty() || now - (unreachableMs[part.zone] ?: Long.MIN_VALUE / 2) < leaseMs) return
+        unreachableMs[part.zone] = now
+        release(lost.take(maxOf(1, part.machines.size / 3)), "answers do not reach them")
     }
 
     private suspend fun returnIdle(part: Part) {
@@ -205,21 +228,43 @@
             val listed = cloud.machines() ?: continue
             val now = nowMs()
             val useless = ArrayList<String>()
+            val silentZones = listed.filter { it.state == "running" && it.ageS > YOUNG_S }.groupBy { it.zone }.filter { (zone, machines) ->
+                machines.size >= FEW && machines.count { heard(it) } * 2 < machines.size && zone in parts
+            }.keys
             for (machine in listed) {
                 val part = parts[machine.zone] ?: continue
                 if (machine.id in gone || ownership.token(machine.zone) != part.token) continue
+                // When most machines of a zone are silent it is cut off: they come back with it, new ones would not.
+                if (machine.zone in silentZones && machine.state == "running") {
+                    firstSilent.remove(machine.id)
+                    continue
+                }
                 if (isUseless(machine, part, now)) useless.add(machine.id)
             }
+            for (machine in listed) expect(machine, now)
             val ids = listed.mapTo(HashSet()) { it.id }
             coming.entries.removeIf { it.key !in ids && now - it.value.sinceMs > VANISHED_MS }
             // A machine that neither reports nor is listed has been taken.
             for (part in parts.values) {
-                part.machines.filter { it.silent && it.id !in ids && now - it.answeredMs > VANISHED_MS }.forEach { part.dismiss(it.id) }
+                part.machines.filter { it.silent && it.id !in ids && now - it.heardMs > VANISHED_MS }.forEach { part.dismiss(it.id) }
             }
             release(useless, "failed, silent or never up")
         }
     }
 
+    /** A machine that an earlier owner rented and that is still booting: without it, the same would be rented again. */
+    private fun expect(machine: ListedMachine, now: Long) {
+        val part = parts[machine.zone] ?: return
+        if (machine.state != "booting" || machine.id in gone || machine.id in coming || part.machine(machine.id) != null) return
+        val type = type(machine.type) ?: return
+        if (machine.ageS > type.bootS * LIKELY_BOOT) return
+        coming[machine.id] = Coming(machine.zone, Kind(machine.type, machine.spot), type.cores, now)
+    }
+
+    private fun heard(machine: ListedMachine) = parts[machine.zone]?.machine(machine.id)?.silent == false
+
+    private fun cutOff(part: Part) = part.machines.size >= FEW && part.machines.count { it.silent } * 2 > part.machines.size
+
     private val firstSilent = HashMap<String, Long>()
 
     private fun isUseless(machine: ListedMachine, part: Part, now: Long): Boolean {
@@ -251,6 +296,9 @@
         const val CLOSED_MS = 6_000L
         const val VANISHED_MS = 30_000L
         const val SILENT_MS = 4_000L
+        const val FEW = 4
+        const val YOUNG_S = 30.0
+        const val LIKELY_BOOT = 2.0
         const val SLOW_BOOT = 5.0
         const val MIN_BOOT_S = 60.0
         const val HUNG_REPORTS = 3
--- a/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
+++ b/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
@@ -14,39 +14,37 @@
     val totalDemand: Double,
     val ordinarySupply: Double,
     val totalSupply: Double,
-    val machines: Int,
-)
+) {
+    fun without(spot: Boolean, cores: Double) =
+        FleetView(ordinaryDemand, totalDemand, if (spot) ordinarySupply else ordinarySupply - cores, totalSupply - cores)
+}
 
 /**
  * How much to rent and to keep: what the highest demand of the last while took, and a little more. Spot machines are
- * rented for whatever may use them, ordinary ones only for work that may use no other.
+ * rented for whatever may use them, ordinary ones only for work that may use no other. What bounds it is the demand,
+ * which team limits bound, and what the cloud refuses.
  */
-class FleetPolicy(private val maxMachines: Int) {
+class FleetPolicy {
 
     fun rent(view: FleetView, types: List<MachineType>, zone: String, closed: (Kind) -> Boolean): List<Rent> {
-        var room = maxMachines - view.machines
-        val here = types.filter { zone in it.zones }
+        val here = types.filter { zone in it.zones && it.cores > 0 }
         val rents = ArrayList<Rent>()
         fun take(kind: Kind, cores: Double, gap: Double): Double {
-            val count = minOf(room, Math.ceil(gap / cores).toInt())
+            val count = Math.ceil(gap / cores).toInt()
             if (count <= 0) return 0.0
-            room -= count
             rents.add(Rent(kind, count))
             return count * cores
         }
-        // Work that waits for an ordinary machine is served best by the type that is up first.
-        var ordinaryGap = view.ordinaryDemand * (1 + HEADROOM) - view.ordinarySupply
-        val ordinary = here.filterNot { closed(Kind(it.name, false)) }.minByOrNull { it.bootS }
-        if (ordinary != null) ordinaryGap -= take(Kind(ordinary.name, false), ordinary.cores, ordinaryGap)
-        val rented = rents.sumOf { rent -> rent.count * here.first { it.name == rent.kind.type }.cores }
+        val ordinaryGap = view.ordinaryDemand * (1 + HEADROOM) - view.ordinarySupply
+        val ordinary = here.filterNot { closed(Kind(it.name, false)) }.minByOrNull { cost(it, it.price) }
+        val rented = if (ordinary == null) 0.0 else take(Kind(ordinary.name, false), ordinary.cores, ordinaryGap)
         val gap = view.totalDemand * (1 + HEADROOM) - view.totalSupply - rented
-        val spot = here.filterNot { closed(Kind(it.name, true)) }.minByOrNull { it.spotPrice / it.cores }
+        val spot = here.filterNot { closed(Kind(it.name, true)) }.minByOrNull { cost(it, it.spotPrice) }
         if (spot != null) {
             take(Kind(spot.name, true), spot.cores, gap)
-        } else if (gap > 0) {
+        } else if (gap > 0 && ordinary != null && rents.isEmpty()) {
             // No spot machine is to be had: an ordinary one costs more, but the work would wait.
-            val dear = here.filterNot { closed(Kind(it.name, false)) }.minByOrNull { it.price / it.cores }
-            if (dear != null && rents.isEmpty()) take(Kind(dear.name, false), dear.cores, gap)
+            take(Kind(ordinary.name, false), ordinary.cores, gap)
         }
         return rents
     }
@@ -57,7 +55,15 @@
         return spot || view.ordinarySupply - cores >= view.ordinaryDemand * (1 + HEADROOM)
     }
 
+    /** What a core costs for a short stay, boot and the fetch of an image included, in which it does nothing yet. */
+    private fun cost(type: MachineType, price: Double): Double {
+        val fetchS = if (type.fetchGbPerS > 0) IMAGE_GB / type.fetchGbPerS else 0.0
+        return price / type.cores * (STAY_S + type.bootS + fetchS) / STAY_S
+    }
+
     private companion object {
         const val HEADROOM = 0.15
+        const val STAY_S = 60.0
+        const val IMAGE_GB = 2.0
     }
 }
--- a/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -28,7 +28,7 @@
     suspend fun settle(part: Part, version: Long, change: Change): Settled {
         val owner = Guard(Keys.part(part.zone), part.token)
         while (parts[part.zone] === part) {
-            client.budget.take(1)
+            client.budget.takeSpare(1, lesser = true)
             when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
                 is TxnOutcome.Applied -> return shown(outcome.revision, part, Settled.APPLIED)
                 is TxnOutcome.Conflict -> {
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -46,6 +46,9 @@
     fun ownerOf(zone: String): String? =
         replica[Keys.part(zone)]?.let { decodeRecord(PartRecord.serializer(), it.value).owner }
 
+    /** Of all parts, how many this node may act for now. */
+    fun ownedShare(): Double = if (fence.holds(nowMs())) tokens.size.toDouble() / zones.size else 0.0
+
     fun guard(zone: String): Guard? = tokens[zone]?.let { Guard(Keys.part(zone), it) }
 
     /** A worker or a failed guard has shown that somebody else owns the part. */
--- a/src/main/kotlin/io/otterknot/peer/Announcer.kt
+++ b/src/main/kotlin/io/otterknot/peer/Announcer.kt
@@ -52,7 +52,7 @@
     }
 
     private suspend fun tell(node: String, message: PeerMessage): Int? {
-        val answer = if (node == label) own.take(message, nowMs()) else peers[node]?.ask(message)
+        val answer = if (node == label) own.take(message, nowMs()) else peers[node]?.ask(message, PEER_ANSWER_MS)
         return (answer as? PeerMessage.Known)?.parts
     }
 
--- a/src/main/kotlin/io/otterknot/peer/IdleParts.kt
+++ b/src/main/kotlin/io/otterknot/peer/IdleParts.kt
@@ -4,7 +4,7 @@
 import kotlin.random.Random
 
 /** The parts with idle machines that this node has been told of. */
-class IdleParts(private val views: Map<String, PartView>) {
+class IdleParts(private val views: Map<String, PartView>, private val sound: () -> Boolean) {
     private class Told(val token: Long, val untilMs: Long)
 
     private val told = HashMap<String, Told>()
@@ -26,9 +26,9 @@
                     views[message.zone]?.idleMachines = 0
                 }
             }
-            PeerMessage.Ask, is PeerMessage.Known -> Unit
+            else -> Unit
         }
-        return PeerMessage.Known(told.size)
+        return PeerMessage.Known(told.size, sound())
     }
 
     /** An announcement that is not renewed ends: its sender may have crashed before it could withdraw. */
--- a/src/main/kotlin/io/otterknot/peer/PeerLink.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerLink.kt
@@ -11,6 +11,8 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
 import io.otterknot.config.HostPort
+import io.otterknot.http.Reply
+import io.otterknot.state.Relay
 import io.otterknot.wire.Malformed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -34,7 +36,7 @@
 }
 
 /** Answers other controllers. */
-class PeerServer(private val selector: SelectorManager, private val handler: (PeerMessage) -> PeerMessage) {
+class PeerServer(private val selector: SelectorManager, private val handler: suspend (PeerMessage) -> PeerMessage) {
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
     private var open = 0
 
@@ -81,7 +83,19 @@
 
 /** Something that carries a message to one controller and brings its answer; null: none came. */
 fun interface PeerTransport {
-    suspend fun ask(message: PeerMessage): PeerMessage?
+    suspend fun ask(message: PeerMessage, timeoutMs: Long): PeerMessage?
+}
+
+const val PEER_ANSWER_MS = 800L
+
+/** Another controller as a way to the state service. */
+class PeerRelay(private val peer: PeerTransport) : Relay {
+    override suspend fun sound(): Boolean? = (peer.ask(PeerMessage.Ask, PEER_ANSWER_MS) as? PeerMessage.Known)?.sound
+
+    override suspend fun carry(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
+        val answer = peer.ask(PeerMessage.Carry(method, target, body, timeoutMs.toInt()), timeoutMs + PEER_ANSWER_MS) as? PeerMessage.Carried
+        return if (answer == null || answer.status == 0) Reply.None("no answer by way of another controller") else Reply.Answer(answer.status, answer.body)
+    }
 }
 
 /** A kept connection to one other controller; a message that gets no answer in time is given up. */
@@ -93,13 +107,13 @@
 
     private var kept: Connection? = null
 
-    override suspend fun ask(message: PeerMessage): PeerMessage? {
+    override suspend fun ask(message: PeerMessage, timeoutMs: Long): PeerMessage? {
         val used = kept
         kept = null
         var connection: Connection? = used
         var answered = false
         try {
-            return withTimeout(TIMEOUT_MS) {
+            return withTimeout(timeoutMs) {
                 val open = used?.takeUnless { it.input.isClosedForRead }
                     ?: Connection(aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true })
                 if (open !== used) used?.socket?.close()
@@ -116,9 +130,4 @@
         } finally {
             if (answered) kept = connection else connection?.socket?.close()
         }
-    }
-
-    private companion object {
-        const val TIMEOUT_MS = 800L
-    }
-}
+    }}
--- a/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -3,7 +3,7 @@
 import io.otterknot.wire.Malformed
 import okio.Buffer
 
-/** What controllers tell each other. Each message is answered with [Known]. */
+/** What controllers tell each other. Each is answered with [Known], or a [Carry] with [Carried]. */
 sealed interface PeerMessage {
     /** How many parts with idle machines do you know? */
     data object Ask : PeerMessage
@@ -14,12 +14,19 @@
     /** The part has no idle machine any more. */
     data class Withdraw(val zone: String, val token: Long) : PeerMessage
 
-    data class Known(val parts: Int) : PeerMessage
+    /** [sound]: the state service answers this node. */
+    data class Known(val parts: Int, val sound: Boolean) : PeerMessage
+
+    /** Ask the state service this for me. */
+    class Carry(val method: String, val target: String, val body: ByteArray?, val timeoutMs: Int) : PeerMessage
+
+    /** What it said; status 0: nothing. */
+    class Carried(val status: Int, val body: ByteArray) : PeerMessage
 }
 
 /** A frame is a length of four bytes and that many bytes: a kind, then its fields. */
 object PeerCodec {
-    const val MAX_FRAME = 1_024
+    const val MAX_FRAME = 1_048_576
 
     fun encode(message: PeerMessage): ByteArray {
         val body = Buffer()
@@ -27,7 +34,12 @@
             PeerMessage.Ask -> body.writeByte(1)
             is PeerMessage.Announce -> body.writeByte(2).writeName(message.zone).writeLong(message.token).writeInt(message.idle)
             is PeerMessage.Withdraw -> body.writeByte(3).writeName(message.zone).writeLong(message.token)
-            is PeerMessage.Known -> body.writeByte(4).writeInt(message.parts)
+            is PeerMessage.Known -> body.writeByte(4).writeInt(message.parts).writeByte(if (message.sound) 1 else 0)
+            is PeerMessage.Carry -> {
+                body.writeByte(5).writeName(message.method).writeName(message.target).writeInt(message.timeoutMs)
+                body.writeInt(message.body?.size ?: -1).write(message.body ?: EMPTY)
+            }
+            is PeerMessage.Carried -> body.writeByte(6).writeInt(message.status).writeInt(message.body.size).write(message.body)
         }
         return Buffer().writeInt(body.size.toInt()).also { it.writeAll(body) }.readByteArray()
     }
@@ -40,7 +52,9 @@
                 1 -> PeerMessage.Ask
                 2 -> PeerMessage.Announce(buffer.readName(), buffer.readLong(), buffer.readInt())
                 3 -> PeerMessage.Withdraw(buffer.readName(), buffer.readLong())
-                4 -> PeerMessage.Known(buffer.readInt())
+                4 -> PeerMessage.Known(buffer.readInt(), buffer.readByte().toInt() != 0)
+                5 -> PeerMessage.Carry(buffer.readName(), buffer.readName(), timeoutMs = buffer.readInt(), body = buffer.readBytes())
+                6 -> PeerMessage.Carried(buffer.readInt(), buffer.readBytes() ?: EMPTY)
                 else -> throw Malformed("unknown kind of message $kind")
             }
             if (!buffer.exhausted()) throw Malformed("bytes after the message")
@@ -50,6 +64,13 @@
         }
     }
 
+    private val EMPTY = ByteArray(0)
+
+    private fun Buffer.readBytes(): ByteArray? {
+        val size = readInt()
+        return if (size < 0) null else readByteArray(size.toLong())
+    }
+
     private fun Buffer.writeName(name: String): Buffer {
         val bytes = name.encodeToByteArray()
         return writeShort(bytes.size).write(bytes)
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -2,31 +2,61 @@
 
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
 
 enum class Phase { BOOKED, SENT, FETCHING, RUNNING, SAVING, EXITED }
 
 /** One try at a task on one machine. */
 class Attempt(val job: PartJob, val task: Int, val id: Long, val machine: Machine, var phase: Phase, var since: Long) {
+    /** Told to stop, or to be told with the next answer. */
     var halting = false
+        private set
     var haltSent = false
+
+    /** Begun before more urgent work so that its job begins at all: it is not stopped for such work. */
+    var kept = false
+
+    /** The report that last showed it. */
+    var shownSeq = -1L
     val name: String get() = "${job.id}/$task"
     val holds: Boolean get() = phase != Phase.EXITED
+
+    fun halt() {
+        if (halting || !holds) return
+        halting = true
+        machine.freeing.add(job.spec)
+    }
 }
 
 class Amounts(var cores: Double = 0.0, var memoryGb: Double = 0.0, var cards: Double = 0.0) {
     fun covers(spec: JobSpec) =
         spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS && spec.cards <= cards + Machine.EPS
 
-    fun add(spec: JobSpec) {
-        cores += spec.cores
-        memoryGb += spec.memoryGb
-        cards += spec.cards
+    fun add(spec: JobSpec, times: Int = 1) {
+        cores += spec.cores * times
+        memoryGb += spec.memoryGb * times
+        cards += spec.cards * times
+    }
+
+    /** Takes [spec] away, but never more than there is. */
+    fun takeUpTo(spec: JobSpec) {
+        cores = maxOf(0.0, cores - spec.cores)
+        memoryGb = maxOf(0.0, memoryGb - spec.memoryGb)
+        cards = maxOf(0.0, cards - spec.cards)
+    }
+
+    fun clear() {
+        cores = 0.0
+        memoryGb = 0.0
+        cards = 0.0
     }
 }
 
 /** A machine in this part and the ledger of what is booked on it: reported, or sent and not yet reported. */
-class Machine(val index: Int, val id: String, val type: MachineType, val spot: Boolean) : Place() {
+class Machine(val id: String, val type: MachineType, val spot: Boolean) : Place() {
+    /** Where it stands in the part's dense list. */
+    var slot = -1
     var session = 0L
     var seq = -1L
 
@@ -36,8 +66,11 @@
     var draining = false
     var noticed = false
 
-    /** When the last report that got an answer came in: the machine's lease is counted from no later than this. */
-    var answeredMs = 0L
+    /** When the last new report came in. */
+    var heardMs = 0L
+
+    /** The latest moment from which the machine's lease may count: no answer that it accepted is to a later report. */
+    var leaseFromMs = 0L
     var firstSeenMs = 0L
     var silent = false
     val attempts = Long2ObjectLinkedOpenHashMap<Attempt>()
@@ -47,7 +80,19 @@
     val failedJobs = HashMap<String, Long>()
     var failures = 0
 
-    fun avoids(jobId: String, now: Long): Boolean = (failedJobs[jobId] ?: Long.MIN_VALUE) > now
+    /**
+     * Answers in a row that surely did not arrive, by what later reports show. A machine whose reports come while
+     * answers are lost looks idle and would draw task after task.
+     */
+    var lostAnswers = 0
+
+    /** When a task last tried whether answers arrive. */
+    var probedMs = Long.MIN_VALUE / 2
+
+    /** It gets nothing new until a later report proves that answers arrive: one task at a time tries that. */
+    val deaf: Boolean get() = lostAnswers >= DEAF
+
+    fun avoids(jobId: String, now: Long): Boolean = failedJobs.isNotEmpty() && (failedJobs[jobId] ?: Long.MIN_VALUE) > now
 
     var usedCores = 0.0
     var usedCards = 0.0
@@ -56,13 +101,17 @@
     /** Not needed any more: takes no new task and goes back once it is empty, unless it is needed again before. */
     var retiring = false
 
-    /** What is being freed here by stopping tasks, and what of this machine waiting tasks of a higher priority are to get. */
-    var freeing = Amounts()
-    var held = Amounts()
+    /** What is being freed here by stopping tasks. */
+    val freeing = Amounts()
+
+    /** What of this machine waiting tasks are to get, by their priority. */
+    private val held = Array(Priority.entries.size) { Amounts() }
+
+    fun held(priority: Priority): Amounts = held[priority.ordinal]
 
     /** Part of what this part has to work with, whether or not it may get a task already. */
     val serving: Boolean get() = !draining && !silent && !retiring
-    val usable: Boolean get() = reconciled && registered && serving
+    val usable: Boolean get() = reconciled && registered && serving && !deaf
 
     fun roomFor(spec: JobSpec): Boolean =
         usedCores + spec.cores <= type.cores + EPS &&
@@ -70,18 +119,29 @@
             usedCards + spec.cards <= type.cards + EPS
 
     /** Room that is not meant for a task of a higher priority. */
-    fun spareFor(spec: JobSpec): Boolean =
-        roomFor(spec) &&
-            usedCores - freeing.cores + held.cores + spec.cores <= type.cores + EPS &&
-            usedMemory - freeing.memoryGb + held.memoryGb + spec.memoryGb <= type.memoryGb + EPS &&
-            usedCards - freeing.cards + held.cards + spec.cards <= type.cards + EPS
-
-    /** What is free or being freed and not held for anybody. */
-    fun openRoom() = Amounts(
-        type.cores - usedCores + freeing.cores - held.cores,
-        type.memoryGb - usedMemory + freeing.memoryGb - held.memoryGb,
-        type.cards - usedCards + freeing.cards - held.cards,
-    )
+    fun spareFor(spec: JobSpec): Boolean {
+        if (!roomFor(spec)) return false
+        var cores = usedCores - freeing.cores + spec.cores
+        var memory = usedMemory - freeing.memoryGb + spec.memoryGb
+        var cards = usedCards - freeing.cards + spec.cards
+        for (higher in 0 until spec.priority.ordinal) {
+            cores += held[higher].cores
+            memory += held[higher].memoryGb
+            cards += held[higher].cards
+        }
+        return cores <= type.cores + EPS && memory <= type.memoryGb + EPS && cards <= type.cards + EPS
+    }
+
+    /** What is free or being freed and not held for anybody of [priority] or a higher one. */
+    fun openRoom(priority: Priority): Amounts {
+        val open = Amounts(type.cores - usedCores + freeing.cores, type.memoryGb - usedMemory + freeing.memoryGb, type.cards - usedCards + freeing.cards)
+        for (level in 0..priority.ordinal) {
+            open.cores -= held[level].cores
+            open.memoryGb -= held[level].memoryGb
+            open.cards -= held[level].cards
+        }
+        return open
+    }
 
     fun allowed(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type.name in spec.types)
 
@@ -107,5 +167,6 @@
 
     companion object {
         const val EPS = 1e-6
+        private const val DEAF = 2
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -6,7 +6,6 @@
 import io.otterknot.wire.ExitCause
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
-import io.otterknot.wire.Priority
 import io.otterknot.wire.Report
 import io.otterknot.wire.TaskName
 import io.otterknot.wire.TaskReport
@@ -30,9 +29,12 @@
 /** What a part needs to know of a team: what it may use here, and its share of a contended part. */
 class TeamShare(val name: String, val weight: Double, var allotment: Amount)
 
-class PartTimes(val leaseMs: Long, val marginMs: Long = 700) {
+class PartTimes(val leaseMs: Long, val marginMs: Long = 700, val answerMs: Long = 4_000) {
     /** A machine's lease, on any clock that keeps to the protocol's drift, has ended after this long. */
     val surelyOverMs: Long get() = leaseMs + leaseMs / 500 + marginMs
+
+    /** An answer to a report that came in this long after a claim cannot prolong a lease from before the claim. */
+    val tooLateMs: Long get() = surelyOverMs + answerMs
 }
 
 /**
@@ -49,41 +51,63 @@
     val token: Long,
     private val claimedMs: Long,
     private val times: PartTimes,
-    private val random: Random,
-    private val aims: Aims,
+    random: Random,
+    aims: Aims,
     private val wallOf: (Long) -> Long,
     private val typeOf: (String) -> MachineType?,
-    teams: List<TeamShare>,
+    private val teams: List<TeamShare>,
     /** Machines that the part's owners have registered, with their types. */
     registeredMachines: Map<String, String>,
 ) {
     private val log = LoggerFactory.getLogger(Part::class.java)
-    private val machineIndex = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
-    private val machineList = ArrayList<Machine?>()
-    private val jobIndex = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
-    private val jobList = ArrayList<PartJob?>()
-    private val teams: List<TeamShare> = teams
-    private val teamIndex = Object2IntOpenHashMap<String>().apply {
-        defaultReturnValue(-1)
-        teams.forEachIndexed { index, team -> put(team.name, index) }
-    }
+    private val machineSlots = slots()
+    private val machineList = ArrayList<Machine>()
+    private val jobSlots = slots()
+    private val jobList = ArrayList<PartJob>()
+    private val teamSlots = slots().apply { teams.forEachIndexed { index, team -> put(team.name, index) } }
     private val teamCores = DoubleArray(teams.size)
     private val teamCards = DoubleArray(teams.size)
     private var attempts = 0L
-    private var ordinaryWork = false
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
     private val suspects = HashMap(registeredMachines)
     private val registered = HashSet(registeredMachines.keys)
+
+    /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
+    private val lastSeen = LastSeen()
     var settled = false
         private set
 
-    val machines: List<Machine> get() = machineList.filterNotNull()
-    val jobs: List<PartJob> get() = jobList.filterNotNull()
+    private val ledger = object : Ledger {
+        override val machines get() = machineList
+        override val jobs get() = jobList
+        override fun startable(job: PartJob) = this@Part.startable(job)
+        override fun pressure(team: Int) = if (team < 0) 0.0 else teamCores[team] / teams[team].weight
+        override fun book(job: PartJob, machine: Machine, now: Long): Attempt {
+            val task = job.pending.nextSetBit(0)
+            job.pending.clear(task)
+            return this@Part.book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
+        }
+
+        override fun stop(attempt: Attempt) {
+            if (attempt.phase == Phase.BOOKED) {
+                release(attempt)
+                requeue(attempt)
+            } else {
+                attempt.halt()
+            }
+        }
+    }
+    private val scheduler = Scheduler(ledger, aims, wallOf, random)
+
+    val machines: List<Machine> get() = machineList
+    val jobs: List<PartJob> get() = jobList
+
+    fun machine(id: String): Machine? = machineSlots.getInt(id).let { if (it < 0) null else machineList[it] }
 
-    fun machine(id: String): Machine? = machineIndex.getInt(id).let { if (it < 0) null else machineList[it] }
+    fun job(id: String): PartJob? = jobSlots.getInt(id).let { if (it < 0) null else jobList[it] }
 
-    fun job(id: String): PartJob? = jobIndex.getInt(id).let { if (it < 0) null else jobList[it] }
+    private fun slots() = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
 
     // ---- jobs -------------------------------------------------------------------------------------------------
 
@@ -95,16 +119,16 @@
             job(job.id)?.let(::drop)
             return
         }
-        val spans = record.spans.filter { it.zone == zone }
         var held = job(job.id)
         if (held == null) {
-            if (spans.isEmpty()) return
-            held = PartJob(jobList.size, job, spec, record.submittedMs)
-            jobIndex.put(job.id, held.index)
+            if (record.spans.none { it.zone == zone }) return
+            held = PartJob(job, spec, teamSlots.getInt(spec.team), record.submittedMs)
+            held.slot = jobList.size
+            jobSlots.put(job.id, held.slot)
             jobList.add(held)
         }
         val mine = BitSet()
-        spans.forEach { mine.set(it.from, it.until) }
+        record.spans.forEach { if (it.zone == zone) mine.set(it.from, it.until) }
         val came = (mine.clone() as BitSet).apply { andNot(held.mine); andNot(job.done) }
         val left = (held.mine.clone() as BitSet).apply { andNot(mine) }
         held.mine.clear()
@@ -113,6 +137,7 @@
         held.pending.andNot(left)
         held.doubtful.andNot(left)
         held.leaving.andNot(left)
+        if (!came.isEmpty) scheduler.invalidate()
     }
 
     /** Sets tasks of [held] that wait aside for another part, up to so many [cores]; the last ones first. */
@@ -134,7 +159,9 @@
     fun settleHandover(held: PartJob, tasks: BitSet) {
         val kept = (tasks.clone() as BitSet).apply { and(held.mine); and(held.leaving) }
         held.leaving.andNot(tasks)
-        if (!held.over) held.pending.or(kept)
+        if (held.over || kept.isEmpty) return
+        held.pending.or(kept)
+        scheduler.invalidate()
     }
 
     /** Completions became durable. */
@@ -149,33 +176,46 @@
         held.over = true
         held.pending.clear()
         held.doubtful.clear()
-        jobIndex.removeInt(held.id)
-        jobList[held.index] = null
+        jobSlots.removeInt(held.id)
+        val last = jobList.removeAt(jobList.size - 1)
+        if (last !== held) {
+            last.slot = held.slot
+            jobList[last.slot] = last
+            jobSlots.put(last.id, last.slot)
+        }
+        scheduler.order.invalidate()
         for (attempt in held.active.values.toList()) {
             // What was only booked has never been sent, so it is free at once; the rest is told to stop.
-            if (attempt.phase == Phase.BOOKED) release(attempt) else attempt.halting = true
+            if (attempt.phase == Phase.BOOKED) release(attempt) else attempt.halt()
         }
     }
 
     // ---- machines ---------------------------------------------------------------------------------------------
 
-    fun registeredNow(id: String, present: Boolean) {
-        if (present) {
-            registered.add(id)
-        } else {
-            registered.remove(id)
-            retired.remove(id)
+    /** The machines that are registered now. */
+    fun registeredNow(ids: Set<String>) {
+        registered.clear()
+        registered.addAll(ids)
+        retired.retainAll(ids)
+        for (machine in machineList) {
+            val present = machine.id in ids
+            if (present && !machine.registered) scheduler.invalidate()
+            machine.registered = present
         }
-        machine(id)?.registered = present
     }
 
     /** Machines that report here and must be registered before they may get a task. */
-    fun unregistered(): List<Machine> = machines.filter { it.reconciled && !it.registered && !it.silent }
+    fun unregistered(): List<Machine> = machineList.filter { it.reconciled && !it.registered && !it.silent }
+
+    /** The types of machines that an earlier owner had registered and that have not been heard of yet. */
+    fun unheard(): List<String> = if (settled) emptyList() else suspects.filterKeys { machine(it) == null }.values.toList()
 
     /** The cloud says that the machine and everything on it is gone. */
     fun released(id: String) {
         if (id in registered) retired.add(id)
         dismiss(id)
+        // Its name never comes back: whatever report still shows it is a late one.
+        lastSeen.gone(id)
     }
 
     /** Registered machines that are surely gone; their names never come back, so their keys may go too. */
@@ -186,8 +226,14 @@
         suspects.remove(id)
         val machine = machine(id) ?: return
         forgetAll(machine)
-        machineIndex.removeInt(id)
-        machineList[machine.index] = null
+        lastSeen.note(id, machine.session, machine.seq)
+        machineSlots.removeInt(id)
+        val last = machineList.removeAt(machineList.size - 1)
+        if (last !== machine) {
+            last.slot = machine.slot
+            machineList[last.slot] = last
+            machineSlots.put(last.id, last.slot)
+        }
     }
 
     /**
@@ -195,15 +241,18 @@
      * is given back, since the cloud's answer settles sooner than its lease what became of its tasks.
      */
     fun hung(now: Long, afterMs: Long): List<String> {
-        val talking = machines.filter { !it.silent }
-        val quiet = talking.filter { now - it.answeredMs > afterMs }
+        val talking = machineList.filter { !it.silent }
+        val quiet = talking.filter { now - it.heardMs > afterMs }
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
-        val lively = talking.count { now - it.answeredMs < afterMs / 2 }
+        val lively = talking.count { now - it.heardMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
         val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.keys.filter { machine(it) == null }
         return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + unheard
     }
 
+    /** Machines whose reports arrive while answers to them are lost again and again: they do nothing and hold others up. */
+    fun unreachable(): List<String> = machineList.filter { it.lostAnswers >= UNREACHABLE }.map { it.id }
+
     private fun forgetAll(machine: Machine) {
         for (attempt in machine.attempts.values.toList()) {
             release(attempt)
@@ -211,33 +260,39 @@
         }
     }
 
-    /** Looks for machines whose lease is surely over, and for doubts that time has settled. */
-    fun sweep(now: Long) {
-        for (machine in machines) {
-            if (!machine.silent && now - machine.answeredMs > times.surelyOverMs) {
+    /**
+     * Looks for machines whose lease is surely over, and for doubts that time has settled; places what waits. Where this
+     * node itself has been [slow], its answers come too late for the workers, and no machine is to blame.
+     */
+    fun sweep(now: Long, slow: Boolean = false) {
+        for (machine in machineList) {
+            if (!machine.silent && now - machine.leaseFromMs > times.surelyOverMs && now - machine.heardMs > times.surelyOverMs) {
                 log.info("{}: no report from {} within its lease; {} attempts are over", zone, machine.id, machine.attempts.size)
                 machine.silent = true
                 machine.idle = false
                 forgetAll(machine)
             }
+            if (slow) machine.lostAnswers = 0
         }
         settle(now)
+        scheduler.placeAll(now)
     }
 
     private fun settle(now: Long) {
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
         // then falls silent, its lease ends that much later than those of machines never heard of.
-        suspects.keys.removeIf { id -> now - maxOf(claimedMs, machine(id)?.answeredMs ?: claimedMs) > times.surelyOverMs }
+        suspects.keys.removeIf { id -> now - maxOf(claimedMs, machine(id)?.leaseFromMs ?: claimedMs) > times.surelyOverMs }
         if (suspects.isNotEmpty()) return
         settled = true
         var count = 0
-        for (job in jobs) {
+        for (job in jobList) {
             job.doubtful.andNot(job.job.done)
             count += job.doubtful.cardinality()
             job.pending.or(job.doubtful)
             job.doubtful.clear()
         }
+        scheduler.invalidate()
         log.info("{}: no doubt is left {} ms after the claim; {} tasks may start", zone, now - claimedMs, count)
     }
 
@@ -246,51 +301,89 @@
     fun report(report: Report, now: Long): ReportDecision {
         if (report.token > token) return ReportDecision.Superseded
         val type = typeOf(report.type) ?: return ReportDecision.Answer(token, emptyList())
-        val machine = machine(report.machine) ?: Machine(machineList.size, report.machine, type, report.spot).also {
-            machineIndex.put(it.id, it.index)
+        val known = machine(report.machine)
+        // Packets may be held back and delivered late, and copies of them: only a newer report says anything, also of a
+        // machine that has been let go.
+        if (if (known != null) !newer(report, known.session, known.seq) else !lastSeen.olderThan(report)) return ReportDecision.Stale
+        val machine = known ?: Machine(report.machine, type, report.spot).also {
+            it.slot = machineList.size
+            machineSlots.put(it.id, it.slot)
             machineList.add(it)
             it.registered = it.id in registered
             it.firstSeenMs = now
-        }
-        // Packets may be held back and delivered late: only a newer report says anything.
-        if (report.session < machine.session || (report.session == machine.session && report.seq <= machine.seq)) {
-            return ReportDecision.Stale
+            it.leaseFromMs = now
         }
         if (report.session > machine.session) {
-            // The worker has killed and forgotten everything of its earlier sessions.
+            // The worker has killed and forgotten everything of its earlier sessions. If its reports came all the
+            // while, it was the answers that did not.
+            if (known != null && now - machine.heardMs < times.leaseMs / 2) machine.lostAnswers += 2
             forgetAll(machine)
             machine.session = report.session
         }
         machine.seq = report.seq
-        machine.answeredMs = now
+        machine.heardMs = now
         machine.silent = false
         if (report.token < token) {
-            // Until it has seen this token, an earlier owner's answer could still reach it.
-            machine.reconciled = false
+            unknowing(machine, known != null, now)
             return ReportDecision.Answer(token, emptyList())
         }
-        machine.reconciled = true
+        machine.leaseFromMs = now
+        if (!machine.reconciled) {
+            machine.reconciled = true
+            machine.lostAnswers = 0
+        }
         machine.noticed = report.noticeS != null
         if (machine.noticed) machine.draining = true
         val commands = ArrayList<Command>()
-        val shown = HashSet<Long>()
-        for (entry in report.tasks) {
-            shown.add(entry.attempt)
-            reconcile(machine, entry, now, commands)
-        }
-        for (attempt in machine.attempts.values.toList()) {
-            if (attempt.id in shown || attempt.phase == Phase.BOOKED) continue
-            // Sent in an answer to an earlier report and not here: the worker dropped that answer, and always will.
-            release(attempt)
-            requeue(attempt)
-        }
+        for (entry in report.tasks) reconcile(machine, entry, report.seq, now, commands)
+        compareSent(machine)
         if (suspects.remove(machine.id) != null) settle(now)
-        val free = machine.attempts.isEmpty()
-        machine.reported(machine.bookedShare(), free && machine.usable)
-        place(now)
+        machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.usable)
+        if (machine.deaf) probe(machine, now) else scheduler.placeOn(machine, now)
+        addCommands(machine, now, commands)
+        return ReportDecision.Answer(token, commands)
+    }
+
+    private fun newer(report: Report, session: Long, seq: Long) =
+        report.session > session || (report.session == session && report.seq > seq)
+
+    /**
+     * A report that does not show this token yet: an earlier owner's answer could still reach the machine. An answer
+     * of ours may prolong the lease of what it holds from that owner, so the doubt is counted from this report; but no
+     * answer to a report that came long after the claim can, since that lease has ended and a worker drops late
+     * answers. Without this end, a machine that no answer reaches would keep a part in doubt for ever.
+     */
+    private fun unknowing(machine: Machine, again: Boolean, now: Long) {
+        machine.reconciled = false
+        if (again) machine.lostAnswers++
+        if (now - claimedMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id) != null) settle(now)
+    }
+
+    /** What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always will. */
+    private fun compareSent(machine: Machine) {
+        var lost = false
+        if (machine.attempts.isNotEmpty()) {
+            for (attempt in machine.attempts.values.toList()) {
+                if (attempt.shownSeq == machine.seq || attempt.phase == Phase.BOOKED) continue
+                lost = lost || attempt.phase == Phase.SENT
+                release(attempt)
+                requeue(attempt)
+            }
+        }
+        if (lost) machine.lostAnswers++
+    }
+
+    private fun probe(machine: Machine, now: Long) {
+        val idle = machine.attempts.isEmpty() && machine.reconciled && machine.registered && machine.serving
+        if (!idle || now - machine.probedMs < PROBE_MS) return
+        machine.probedMs = now
+        scheduler.probe(machine, now)
+    }
+
+    private fun addCommands(machine: Machine, now: Long, commands: MutableList<Command>) {
         for (attempt in machine.attempts.values) {
             when {
-                attempt.halting && attempt.holds && attempt.phase != Phase.BOOKED -> {
+                attempt.halting && attempt.phase != Phase.BOOKED -> {
                     val saves = attempt.job.spec.checkpointS > 0 && !attempt.job.over && !attempt.haltSent
                     commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
                     attempt.haltSent = true
@@ -302,14 +395,14 @@
                 }
             }
         }
-        return ReportDecision.Answer(token, commands)
     }
 
-    private fun reconcile(machine: Machine, entry: TaskReport, now: Long, commands: MutableList<Command>) {
-        val name = TaskName.parse(entry.task)
+    private fun reconcile(machine: Machine, entry: TaskReport, seq: Long, now: Long, commands: MutableList<Command>) {
         val exited = entry.state == TaskState.EXITED
         val known = machine.attempts.get(entry.attempt)
-        val held = known?.job ?: job(name.job)
+        if (known != null && known.phase == Phase.SENT) machine.lostAnswers = 0
+        val number = known?.task ?: TaskName.parse(entry.task).number
+        val held = known?.job ?: job(entry.task.substringBefore('/'))
         if (held == null || (held.over && exited)) {
             // The job is over, or its task is none of ours.
             known?.let(::release)
@@ -320,14 +413,15 @@
         }
         if (exited) {
             known?.let(::release)
-            exited(machine, held, name.number, entry, known, now, commands)
+            exited(machine, held, number, entry, known, now, commands)
             return
         }
-        val attempt = known ?: adopt(machine, held, name.number, entry, now)
+        val attempt = known ?: adopt(machine, held, number, entry, now)
         if (attempt == null) {
             commands.add(Command.halt(entry.task, entry.attempt, 0.0))
             return
         }
+        attempt.shownSeq = seq
         val phase = when (entry.state) {
             TaskState.FETCHING -> Phase.FETCHING
             TaskState.SAVING -> Phase.SAVING
@@ -336,6 +430,7 @@
         if (phase != attempt.phase) {
             if (phase == Phase.RUNNING) {
                 attempt.since = now
+                held.begun = true
                 machine.images.remove(held.spec.image)
                 machine.images.add(held.spec.image)
                 if (machine.images.size > MAX_IMAGES) machine.images.remove(machine.images.first())
@@ -377,6 +472,7 @@
             requeue(known)
         } else if (held.unheld(task) && !held.doubtful.get(task)) {
             held.pending.set(task)
+            scheduler.invalidate()
         }
     }
 
@@ -398,10 +494,9 @@
         machine.attempts.put(id, attempt)
         machine.book(held.spec)
         held.active.put(task, attempt)
-        val team = teamIndex.getInt(held.spec.team)
-        if (team >= 0) {
-            teamCores[team] += held.spec.cores
-            teamCards[team] += held.spec.cards
+        if (held.team >= 0) {
+            teamCores[held.team] += held.spec.cores
+            teamCards[held.team] += held.spec.cards
         }
         return attempt
     }
@@ -410,89 +505,40 @@
     private fun release(attempt: Attempt) {
         if (attempt.phase == Phase.EXITED) return
         attempt.phase = Phase.EXITED
-        val spec = attempt.job.spec
-        attempt.machine.attempts.remove(attempt.id)
-        attempt.machine.unbook(spec)
-        if (attempt.job.active.get(attempt.task) === attempt) attempt.job.active.remove(attempt.task)
-        val team = teamIndex.getInt(spec.team)
-        if (team >= 0) {
-            teamCores[team] -= spec.cores
-            teamCards[team] -= spec.cards
+        val held = attempt.job
+        val machine = attempt.machine
+        machine.attempts.remove(attempt.id)
+        machine.unbook(held.spec)
+        if (attempt.halting) machine.freeing.add(held.spec, -1)
+        if (held.active.get(attempt.task) === attempt) held.active.remove(attempt.task)
+        if (held.team >= 0) {
+            teamCores[held.team] -= held.spec.cores
+            teamCards[held.team] -= held.spec.cards
         }
     }
 
     private fun requeue(attempt: Attempt) {
         val held = attempt.job
-        if (!held.over && held.unheld(attempt.task)) held.pending.set(attempt.task)
+        if (held.over || !held.unheld(attempt.task)) return
+        held.pending.set(attempt.task)
+        scheduler.invalidate()
     }
 
     // ---- placement --------------------------------------------------------------------------------------------
 
-    /** Places what waits: the most urgent priority first, its teams in turn by shares, and a team's jobs in order. */
-    fun place(now: Long) {
-        val waiting = jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
-        if (waiting.isEmpty()) return
-        val order = inOrder(now)
-        val usable = machines.filter { it.usable }
-        ordinaryWork = jobs.any { !it.spec.spot }
-        for (machine in usable) {
-            machine.held = Amounts()
-            machine.freeing = Amounts().apply { machine.attempts.values.forEach { if (it.halting) add(it.job.spec) } }
-        }
-        for (priority in Priority.entries) {
-            val queues = waiting.filter { it.spec.priority == priority }
-                .sortedWith(order)
-                .groupBy { teamIndex.getInt(it.spec.team) }
-                .mapValues { ArrayDeque(it.value) }
-                .toMutableMap()
-            while (queues.isNotEmpty()) {
-                val team = queues.keys.minBy { pressure(it) }
-                val queue = queues.getValue(team)
-                val job = queue.first()
-                if (!placeOne(job, usable, now) || job.pending.isEmpty) {
-                    queue.removeFirst()
-                    if (queue.isEmpty()) queues.remove(team)
-                }
-            }
-            if (priority < Priority.BEST_EFFORT) makeRoom(waiting.filter { it.spec.priority == priority && !it.pending.isEmpty }, usable, now)
-        }
-    }
-
-    private fun inOrder(now: Long): Comparator<PartJob> {
-        val wall = wallOf(now)
-        return compareBy<PartJob> { aims.missed(it.spec, wall - it.submittedMs) }
-            .thenBy { it.remainingWork }
-            .thenBy { it.submittedMs }
-            .thenBy { it.id }
-    }
-
     /** Jobs of which tasks wait, the most urgent first. */
-    fun waitingInOrder(now: Long): List<PartJob> = jobs.filter { !it.pending.isEmpty }
-        .sortedWith(compareBy<PartJob> { it.spec.priority }.then(inOrder(now)))
+    fun waitingInOrder(now: Long): List<PartJob> = scheduler.order.sorted(jobList, now)
 
-    private fun pressure(team: Int): Double = if (team < 0) 0.0 else teamCores[team] / teams[team].weight
-
-    private fun placeOne(job: PartJob, usable: List<Machine>, now: Long): Boolean {
-        val spec = job.spec
-        if (!withinLimits(job)) return false
-        var fitting = usable.filter { it.allowed(spec) && it.spareFor(spec) && !it.avoids(job.id, now) }
-        // Where some work may run on ordinary machines only, other work takes those last: it would be stopped there.
-        if (spec.spot && ordinaryWork && fitting.any { it.spot }) fitting = fitting.filter { it.spot }
-        val machine = Saqr.choose(fitting, random, { it.share(spec) }, { spec.image in it.images }) ?: return false
-        val task = job.pending.nextSetBit(0)
-        job.pending.clear(task)
-        book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
-        return true
-    }
-
-    private fun withinLimits(job: PartJob): Boolean {
+    private fun startable(job: PartJob): Int {
+        if (job.team < 0) return 0
         val spec = job.spec
+        var count = job.waiting
         // Active tasks of this part are all that can be in its zone, so half of the job's tasks may be active here.
-        if (spec.spread && job.active.size + job.doubtful.cardinality() + 1 > spec.perZoneLimit) return false
-        val team = teamIndex.getInt(spec.team)
-        if (team < 0) return false
-        val left = leftover(team)
-        return left.covers(spec)
+        if (spec.spread) count = minOf(count, spec.perZoneLimit - job.active.size - job.doubtful.cardinality())
+        val left = leftover(job.team)
+        if (spec.cores > 0) count = minOf(count.toDouble(), (left.cores + Machine.EPS) / spec.cores).toInt()
+        if (spec.cards > 0) count = minOf(count.toDouble(), (left.cards + Machine.EPS) / spec.cards).toInt()
+        return maxOf(0, count)
     }
 
     /**
@@ -514,16 +560,18 @@
     private fun Amount.covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.cards <= cards + Machine.EPS
 
     fun allot(name: String, allotment: Amount) {
-        val team = teamIndex.getInt(name)
-        if (team >= 0) teams[team].allotment = allotment
+        val team = teamSlots.getInt(name)
+        if (team < 0) return
+        teams[team].allotment = allotment
+        scheduler.invalidate()
     }
 
     /** What the waiting tasks of a team need here beyond the allotment; nothing while it lets one of each start. */
     fun need(name: String): Amount {
-        val team = teamIndex.getInt(name)
+        val team = teamSlots.getInt(name)
         if (team < 0) return Amount()
         val left = leftover(team)
-        val waiting = jobs.filter { it.spec.team == name && !it.pending.isEmpty }
+        val waiting = jobList.filter { it.team == team && !it.pending.isEmpty }
         if (waiting.all { left.covers(it.spec) }) return Amount()
         return Amount(
             maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cores } - left.cores),
@@ -536,10 +584,10 @@
      * little for any task here, then only in one direction, or two parts would hold each half of what a task needs.
      */
     fun spare(name: String, to: String): Amount {
-        val team = teamIndex.getInt(name)
+        val team = teamSlots.getInt(name)
         if (team < 0 || !settled) return Amount()
         val left = leftover(team)
-        val waiting = jobs.filter { it.spec.team == name && !it.pending.isEmpty }
+        val waiting = jobList.filter { it.team == team && !it.pending.isEmpty }
         val useless = to < zone && waiting.isNotEmpty() && waiting.none { left.covers(it.spec) }
         if (useless) return Amount(maxOf(0.0, left.cores), maxOf(0.0, left.cards))
         return Amount(
@@ -551,78 +599,29 @@
     /** Unlike any attempt of another owner or an earlier start: the token is in it. */
     private fun nextAttempt(): Long = (token shl ATTEMPT_BITS) or ++attempts
 
-    /**
-     * Stops tasks of lower priority where a waiting task would then fit, the least work lost first, and holds the room
-     * for it. Without holding it, lower work that waits would take each freed core before the urgent task fits.
-     */
-    private fun makeRoom(waiting: List<PartJob>, usable: List<Machine>, now: Long) {
-        for (job in waiting) {
-            val spec = job.spec
-            val team = teamIndex.getInt(spec.team)
-            if (team < 0) continue
-            val patient = wallOf(now) - job.submittedMs < aims.patienceMs(spec)
-            val possible = usable.filter { it.allowed(spec) && !it.avoids(job.id, now) }
-            // What the team's allotment does not let start needs no room.
-            val left = leftover(team)
-            val startable = if (spec.cores > 0) minOf(job.waiting.toDouble(), (left.cores + Machine.EPS) / spec.cores).toInt() else job.waiting
-            repeat(startable) {
-                val room = possible.firstOrNull { it.openRoom().covers(spec) }
-                if (room != null) {
-                    room.held.add(spec)
-                    return@repeat
-                }
-                val (machine, victims) = possible.mapNotNull { machine -> victims(machine, spec, now)?.let { machine to it } }
-                    .minByOrNull { (_, victims) -> victims.sumOf { lostWork(it, now) } } ?: return@repeat
-                machine.held.add(spec)
-                if (patient) return@repeat
-                for (victim in victims) {
-                    if (victim.phase == Phase.BOOKED) {
-                        release(victim)
-                        requeue(victim)
-                    } else {
-                        victim.halting = true
-                        machine.freeing.add(victim.job.spec)
-                    }
-                }
-            }
-        }
-    }
-
-    /** The attempts to stop so that a task fits, those that lose least first; null: not even then would it. */
-    private fun victims(machine: Machine, spec: JobSpec, now: Long): List<Attempt>? {
-        val open = machine.openRoom()
-        val victims = ArrayList<Attempt>()
-        for (attempt in machine.attempts.values.filter { !it.halting && it.job.spec.priority > spec.priority }.sortedBy { lostWork(it, now) }) {
-            open.add(attempt.job.spec)
-            victims.add(attempt)
-            if (open.covers(spec)) return victims
-        }
-        return null
-    }
-
-    /** Core-seconds that stopping an attempt throws away. */
-    private fun lostWork(attempt: Attempt, now: Long): Double =
-        if (attempt.phase == Phase.RUNNING) (now - attempt.since) / 1000.0 * attempt.job.spec.cores else 0.0
-
     // ---- what others are told ---------------------------------------------------------------------------------
 
-    private fun waitingCores(): Double = jobs.sumOf { it.waitingCores }
+    private fun waitingCores(): Double = jobList.sumOf { it.waitingCores }
 
-    /** Cores that the tasks of some jobs take here or wait for. */
-    fun demand(of: (JobSpec) -> Boolean): Double =
-        jobs.filter { of(it.spec) }.sumOf { it.waitingCores + it.active.size * it.spec.cores }
+    /** Cores that the tasks of some jobs take here or wait for, as far as their teams' limits let them. */
+    fun demand(of: (JobSpec) -> Boolean): Double {
+        val byTeam = DoubleArray(teams.size)
+        for (job in jobList) {
+            if (job.team >= 0 && of(job.spec)) byTeam[job.team] += job.waitingCores + job.active.size * job.spec.cores
+        }
+        return teams.indices.sumOf { minOf(byTeam[it], teams[it].allotment.cores) }
+    }
 
-    val totalCores: Double get() = machines.filter { it.serving }.sumOf { it.type.cores }
+    val totalCores: Double get() = machineList.sumOf { if (it.serving) it.type.cores else 0.0 }
 
-    val ordinaryCores: Double get() = machines.filter { !it.spot && it.serving }.sumOf { it.type.cores }
+    val ordinaryCores: Double get() = machineList.sumOf { if (!it.spot && it.serving) it.type.cores else 0.0 }
 
     fun ordinaryMean(): Double = demand { !it.spot } / maxOf(ordinaryCores, 1.0)
 
     /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
     fun mean(): Double {
-        val cores = totalCores
-        val busy = machines.filter { !it.silent }.sumOf { it.usedCores }
-        return (busy + waitingCores()) / maxOf(cores, 1.0)
+        val busy = machineList.sumOf { if (it.silent) 0.0 else it.usedCores }
+        return (busy + waitingCores()) / maxOf(totalCores, 1.0)
     }
 
     fun runningTasks(jobId: String): Int = job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
@@ -632,5 +631,7 @@
         const val MAX_IMAGES = 12
         const val FAULTY = 3
         const val AVOID_MS = 15_000L
+        const val PROBE_MS = 3_000L
+        const val UNREACHABLE = 5
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -6,8 +6,11 @@
 import java.util.BitSet
 
 /** The tasks of one job that belong to this part. Each is in one of the sets, active, or done. */
-class PartJob(val index: Int, val job: Job, val spec: JobSpec, val submittedMs: Long) {
+class PartJob(val job: Job, val spec: JobSpec, val team: Int, val submittedMs: Long) {
     val id: String get() = job.id
+
+    /** Where it stands in the part's dense list. */
+    var slot = -1
     val mine = BitSet()
 
     /** May be started now. */
@@ -26,6 +29,17 @@
     var retryAtMs = 0L
     var failures = 0
 
+    /** A task of it has run, as far as this part knows. */
+    var begun = false
+    val unbegun: Boolean get() = !begun && active.isEmpty() && job.done.isEmpty
+
+    /** What [WaitOrder] compares, as of its last look. */
+    var missedAims = 0
+    var workLeft = 0.0
+
+    /** Where its tasks may go in the pass under way; null: not looked for yet. */
+    var candidates: JobCandidates? = null
+
     /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
     val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
 
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
@@ -0,0 +1,74 @@
+package io.otterknot.placement
+
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
+import java.util.PriorityQueue
+
+/**
+ * Stops tasks of lower priority where a waiting task would then fit, the least work lost first, and holds the room for
+ * it. Without holding it, lower work that waits would take each freed core before the urgent task fits.
+ */
+class RoomMaker(
+    private val startable: (PartJob) -> Int,
+    private val patient: (PartJob) -> Boolean,
+    private val stop: (Attempt) -> Unit,
+) {
+    private class Option(val machine: Machine, val victims: List<Attempt>, val cost: Double)
+
+    /** Makes room for the waiting [jobs] of one [priority], in their order. */
+    fun make(priority: Priority, jobs: List<PartJob>, machines: List<Machine>, now: Long) {
+        for (machine in machines) machine.held(priority).clear()
+        val hopeless = ArrayList<JobSpec>()
+        val stoppable = HashMap<Machine, List<Attempt>>()
+        for (job in jobs) {
+            val spec = job.spec
+            // What took no room before takes none now: room only gets less as it is held.
+            if (hopeless.any { it.cores <= spec.cores && it.memoryGb <= spec.memoryGb && it.cards <= spec.cards && it.spot == spec.spot && it.types == spec.types }) continue
+            var left = startable(job)
+            if (left <= 0) continue
+            val possible = machines.filter { it.allowed(spec) && !it.avoids(job.id, now) }
+            for (machine in possible) {
+                if (left == 0) break
+                val open = machine.openRoom(priority)
+                while (left > 0 && open.covers(spec)) {
+                    open.add(spec, -1)
+                    machine.held(priority).add(spec)
+                    left--
+                }
+            }
+            if (left == 0) continue
+            val options = PriorityQueue<Option>(compareBy { it.cost })
+            for (machine in possible) option(machine, spec, stoppable, now)?.let(options::add)
+            val waits = patient(job)
+            while (left > 0) {
+                val best = options.poll() ?: break
+                best.machine.held(priority).add(spec)
+                left--
+                if (!waits) best.victims.forEach(stop)
+                option(best.machine, spec, stoppable, now)?.let(options::add)
+            }
+            if (left > 0) hopeless.add(spec)
+        }
+    }
+
+    /** The attempts to stop so that a task fits, those that lose least first; null: not even then would it. */
+    private fun option(machine: Machine, spec: JobSpec, stoppable: MutableMap<Machine, List<Attempt>>, now: Long): Option? {
+        val lesser = stoppable.getOrPut(machine) {
+            machine.attempts.values.filter { it.job.spec.priority > spec.priority && !it.kept }.sortedBy { lostWork(it, now) }
+        }
+        if (lesser.isEmpty()) return null
+        val open = machine.openRoom(spec.priority)
+        val victims = ArrayList<Attempt>()
+        for (attempt in lesser) {
+            if (attempt.halting || !attempt.holds) continue
+            open.add(attempt.job.spec)
+            victims.add(attempt)
+            if (open.covers(spec)) return Option(machine, victims, victims.sumOf { lostWork(it, now) })
+        }
+        return null
+    }
+
+    /** Core-seconds that stopping an attempt throws away. */
+    private fun lostWork(attempt: Attempt, now: Long): Double =
+        if (attempt.phase == Phase.RUNNING) (now - attempt.since) / 1000.0 * attempt.job.spec.cores else 0.0
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -0,0 +1,157 @@
+package io.otterknot.placement
+
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
+import kotlin.random.Random
+
+/** Where the tasks of one job may go now; spot machines before ordinary ones where others may run on those only. */
+class JobCandidates(machines: List<Machine>, spec: JobSpec, spotFirst: Boolean, fits: (Machine) -> Boolean) {
+    private val groups: List<Candidates<Machine>> =
+        if (spec.spot && spotFirst) {
+            listOf(Candidates(machines.filter { it.spot }, fits), Candidates(machines.filter { !it.spot }, fits))
+        } else {
+            listOf(Candidates(machines, fits))
+        }
+
+    fun choose(random: Random, spec: JobSpec): Machine? =
+        groups.firstNotNullOfOrNull { group -> group.choose(random, { it.share(spec) }, { spec.image in it.images }) }
+}
+
+/** What the scheduler asks of the ledger and tells it. */
+interface Ledger {
+    val machines: List<Machine>
+    val jobs: List<PartJob>
+
+    /** How many more tasks of the job its team's limit and its own spread allow here now. */
+    fun startable(job: PartJob): Int
+
+    /** What the team uses, by its share. */
+    fun pressure(team: Int): Double
+
+    /** Books the job's next waiting task on [machine]. */
+    fun book(job: PartJob, machine: Machine, now: Long): Attempt
+
+    /** Stops the attempt so that something more urgent gets its room. */
+    fun stop(attempt: Attempt)
+}
+
+/**
+ * Places what waits in a part. A task that waits fits nowhere, or it would have been placed: so when a report frees
+ * room, only that machine is looked at, and all machines only once something has come to wait or the time is up.
+ */
+class Scheduler(private val ledger: Ledger, private val aims: Aims, private val wallOf: (Long) -> Long, private val random: Random) {
+    val order = WaitOrder(aims, wallOf)
+    private val roomMaker = RoomMaker(
+        startable = { minOf(it.waiting, ledger.startable(it)) },
+        patient = { wallOf(passMs) - it.submittedMs < aims.patienceMs(it.spec) },
+        stop = ledger::stop,
+    )
+    private var dirty = true
+    private var passMs = Long.MIN_VALUE / 2
+    private var roomMs = Long.MIN_VALUE / 2
+
+    /** Some work here may run on ordinary machines only. */
+    private var ordinaryWork = false
+
+    /** Something has come to wait, or fits where it did not. */
+    fun invalidate() {
+        dirty = true
+        order.invalidate()
+    }
+
+    /** After a report of [machine]. */
+    fun placeOn(machine: Machine, now: Long) {
+        if (dirty || now - passMs >= PASS_MS) return placeAll(now)
+        order.refresh(ledger.jobs, now)
+        if (!machine.usable || order.empty || machine.usedCores + order.leastCores > machine.type.cores + Machine.EPS) return
+        place(now, machine)
+    }
+
+    /** One task to a machine of which answers seemed lost: whether it starts tells. */
+    fun probe(machine: Machine, now: Long) {
+        order.refresh(ledger.jobs, now)
+        for (priority in Priority.entries) {
+            for (queue in order.queues(priority)) {
+                for (job in queue.jobs) {
+                    if (mayStart(job, now) && fits(job, machine, now)) {
+                        ledger.book(job, machine, now)
+                        return
+                    }
+                }
+            }
+        }
+    }
+
+    /** All that waits, on all machines. */
+    fun placeAll(now: Long) {
+        dirty = false
+        passMs = now
+        order.refresh(ledger.jobs, now)
+        if (order.empty) return
+        ordinaryWork = ledger.jobs.any { !it.spec.spot }
+        place(now, null)
+    }
+
+    private fun place(now: Long, only: Machine?) {
+        val usable = if (only != null) listOf(only) else ledger.machines.filter { it.usable }
+        // Without this, the work of one pass would decide on the candidates of another.
+        if (only == null) ledger.jobs.forEach { it.candidates = null }
+        for (job in order.overdue) {
+            if (!job.unbegun || !mayStart(job, now)) continue
+            // Room that is held for more urgent work does not count here, or the job would wait behind it for ever.
+            val fitting = usable.filter { it.allowed(job.spec) && it.roomFor(job.spec) && !it.avoids(job.id, now) }
+            val machine = JobCandidates(fitting, job.spec, ordinaryWork) { true }.choose(random, job.spec) ?: continue
+            ledger.book(job, machine, now).kept = true
+        }
+        val makingRoom = only == null && now - roomMs >= ROOM_MS
+        if (makingRoom) roomMs = now
+        for (priority in Priority.entries) {
+            val queues = order.queues(priority)
+            for (queue in queues) queue.next = 0
+            while (true) {
+                val queue = nextInTurn(queues) ?: break
+                val job = queue.jobs[queue.next]
+                if (!mayStart(job, now) || placeOne(job, usable, only, now) == null) queue.next++
+            }
+            if (makingRoom && priority < Priority.BEST_EFFORT) {
+                val waiting = queues.flatMap { queue -> queue.jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now } }
+                roomMaker.make(priority, waiting, usable, now)
+            }
+        }
+    }
+
+    private fun nextInTurn(queues: List<WaitOrder.Queue>): WaitOrder.Queue? {
+        var chosen: WaitOrder.Queue? = null
+        var least = Double.MAX_VALUE
+        for (queue in queues) {
+            if (queue.head == null) continue
+            val pressure = ledger.pressure(queue.team)
+            if (chosen == null || pressure < least) {
+                chosen = queue
+                least = pressure
+            }
+        }
+        return chosen
+    }
+
+    private fun mayStart(job: PartJob, now: Long) = !job.pending.isEmpty && job.retryAtMs <= now && ledger.startable(job) > 0
+
+    private fun fits(job: PartJob, machine: Machine, now: Long) =
+        machine.allowed(job.spec) && machine.spareFor(job.spec) && !machine.avoids(job.id, now)
+
+    private fun placeOne(job: PartJob, usable: List<Machine>, only: Machine?, now: Long): Attempt? {
+        val machine = if (only != null) {
+            only.takeIf { fits(job, it, now) }?.also { it.take(it.share(job.spec)) }
+        } else {
+            val candidates = job.candidates ?: JobCandidates(usable, job.spec, ordinaryWork) { fits(job, it, now) }.also { job.candidates = it }
+            candidates.choose(random, job.spec)
+        } ?: return null
+        machine.held(job.spec.priority).takeUpTo(job.spec)
+        return ledger.book(job, machine, now)
+    }
+
+    private companion object {
+        const val PASS_MS = 1_000L
+        const val ROOM_MS = 250L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -0,0 +1,77 @@
+package io.otterknot.placement
+
+import io.otterknot.wire.Priority
+
+/**
+ * The order in which waiting jobs are served: priority, then teams in turn by shares, then fewest missed aims, then
+ * least work left. Sorting at every report would cost more than the placement itself, so the order is kept for
+ * [KEEP_MS] unless a job comes to wait.
+ */
+class WaitOrder(private val aims: Aims, private val wallOf: (Long) -> Long) {
+    class Queue(val team: Int) {
+        val jobs = ArrayList<PartJob>()
+        var next = 0
+        val head: PartJob? get() = jobs.getOrNull(next)
+    }
+
+    private val queues = Array(Priority.entries.size) { ArrayList<Queue>() }
+    private var madeMs = Long.MIN_VALUE / 2
+    private var stale = true
+
+    /** The least cores that any waiting task takes: a machine with fewer free has nothing to look for. */
+    var leastCores = 0.0
+        private set
+
+    /**
+     * Jobs of which nothing has begun for long. Each gets one task before all others: with small jobs arriving all the
+     * time, the largest would never begin, and best-effort work never under a steady load of urgent work.
+     */
+    val overdue = ArrayList<PartJob>()
+
+    val empty: Boolean get() = leastCores == Double.MAX_VALUE
+
+    fun invalidate() {
+        stale = true
+    }
+
+    fun queues(priority: Priority): List<Queue> = queues[priority.ordinal]
+
+    fun refresh(jobs: List<PartJob>, now: Long) {
+        if (!stale && now - madeMs < KEEP_MS) return
+        stale = false
+        madeMs = now
+        leastCores = Double.MAX_VALUE
+        overdue.clear()
+        queues.forEach { it.clear() }
+        for (job in sorted(jobs, now)) {
+            leastCores = minOf(leastCores, job.spec.cores)
+            if (job.unbegun && wallOf(now) - job.submittedMs > BEGIN_MS) overdue.add(job)
+            val level = queues[job.spec.priority.ordinal]
+            (level.firstOrNull { it.team == job.team } ?: Queue(job.team).also(level::add)).jobs.add(job)
+        }
+    }
+
+    /** Jobs of which tasks wait, the most urgent first. */
+    fun sorted(jobs: List<PartJob>, now: Long): List<PartJob> {
+        val wall = wallOf(now)
+        val waiting = ArrayList<PartJob>()
+        for (job in jobs) {
+            if (job.pending.isEmpty) continue
+            job.missedAims = aims.missed(job.spec, wall - job.submittedMs)
+            job.workLeft = job.remainingWork
+            waiting.add(job)
+        }
+        waiting.sortWith(ORDER)
+        return waiting
+    }
+
+    private companion object {
+        const val KEEP_MS = 500L
+        const val BEGIN_MS = 90_000L
+        val ORDER = compareBy<PartJob> { it.spec.priority }
+            .thenBy { it.missedAims }
+            .thenBy { it.workLeft }
+            .thenBy { it.submittedMs }
+            .thenBy { it.id }
+    }
+}
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -1,8 +1,6 @@
 package io.otterknot.state
 
 import io.otterknot.wire.JobSpec
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.contentOrNull
 import java.util.BitSet
 
 /** What the replica says of one job. */
@@ -10,7 +8,6 @@
     var record: JobRecord? = null
     var version: Long = 0
     val done = BitSet()
-    val doneKeys = HashSet<String>()
 
     val spec: JobSpec? get() = record?.spec
     val final: Final? get() = record?.final
@@ -21,40 +18,50 @@
 /** All jobs ever accepted; final ones are kept without their description. */
 class JobTable {
     private val jobs = HashMap<String, Job>()
+    private val segments = HashMap<String, Map<String, String>>()
     val live = LinkedHashMap<String, Job>()
 
     operator fun get(id: String): Job? = jobs[id]?.takeIf { it.record != null }
 
-    /** Takes one change of the replica; the job it concerns, or null if it is about something else. */
-    fun change(key: String, entry: Entry?): Job? = when {
-        key.startsWith(Keys.JOBS) -> {
-            val id = key.substring(Keys.JOBS.length)
-            val job = jobs.getOrPut(id) { Job(id) }
-            if (entry != null) {
-                job.record = decodeRecord(JobRecord.serializer(), entry.value)
-                job.version = entry.version
-                if (job.live) {
-                    live[id] = job
-                } else {
-                    live.remove(id)
-                    job.done.clear()
-                }
-            }
-            job
+    /** Takes a change of a job's own key. */
+    fun changeJob(key: String, entry: Entry?): Job {
+        val id = key.substring(Keys.JOBS.length)
+        val job = jobs.getOrPut(id) { Job(id) }
+        if (entry == null) return job
+        job.record = decodeRecord(JobRecord.serializer(), entry.value)
+        job.version = entry.version
+        if (job.live) {
+            live[id] = job
+        } else {
+            live.remove(id)
+            job.done.clear()
         }
-        key.startsWith(Keys.DONE) -> {
-            val (id, _, chunk) = key.substring(Keys.DONE.length).split('/')
-            val job = jobs.getOrPut(id) { Job(id) }
-            if (entry != null) {
-                job.doneKeys.add(key)
-                if (job.final == null) {
-                    TaskBits.decodeInto((entry.value as JsonPrimitive).contentOrNull.orEmpty(), chunk.toInt(), job.done)
-                }
-            } else {
-                job.doneKeys.remove(key)
-            }
-            job
+        return job
+    }
+
+    /** Takes a change of a segment of completions; the jobs of which tasks are newly done. */
+    fun changeDone(key: String, entry: Entry?): List<Job> {
+        if (entry == null) {
+            segments.remove(key)
+            return emptyList()
+        }
+        val known = segments[key].orEmpty()
+        val bits = decodeRecord(DoneRecord.serializer(), entry.value).bits
+        segments[key] = bits
+        val changed = ArrayList<Job>()
+        for ((name, text) in bits) {
+            if (known[name] == text) continue
+            val job = jobs.getOrPut(TaskBits.job(name)) { Job(TaskBits.job(name)) }
+            if (job.final != null) continue
+            TaskBits.decodeInto(text, TaskBits.chunk(name), job.done)
+            changed.add(job)
         }
-        else -> null
+        return changed
     }
+
+    /** The segments of completions under [prefix], by key. */
+    fun segments(prefix: String): Map<String, Map<String, String>> = segments.filterKeys { it.startsWith(prefix) }
+
+    /** Whether a name in a segment still says something: its job is not over. */
+    fun matters(name: String): Boolean = jobs[TaskBits.job(name)]?.final == null
 }
--- a/src/main/kotlin/io/otterknot/state/Keys.kt
+++ b/src/main/kotlin/io/otterknot/state/Keys.kt
@@ -13,9 +13,10 @@
     const val TYPES = "o/t"
 
     fun job(id: String) = JOBS + id
-    fun done(job: String, zone: String, chunk: Int) = "$DONE$job/$zone/$chunk"
+    fun done(zone: String, segment: String) = "$DONE$zone/$segment"
     fun part(zone: String) = PARTS + zone
-    fun machine(zone: String, machine: String) = "$MACHINES$zone/$machine"
+    fun machines(zone: String) = "$MACHINES$zone/"
+    fun machines(zone: String, segment: Int) = "$MACHINES$zone/$segment"
     fun mean(zone: String) = MEANS + zone
     fun allotment(team: String) = ALLOTMENTS + team
 }
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -1,59 +1,105 @@
 package io.otterknot.state
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 
 /**
- * This node's share of the state service's limits, as two buckets of one second's worth. A caller takes its place at
- * once and waits for its turn, so nobody is starved; [tryTake] refuses instead of waiting.
+ * This node's share of a service's limits, as two buckets of one second's worth. The [share] of each may change as
+ * parts come and go; the shares of all nodes never pass the whole.
+ *
+ * Requests that a user waits for go first: they take their place at once and wait for their turn, for no longer than
+ * they say. Duties wait until there is something for them and leave no debt behind, so that users never queue behind
+ * a long batch; and what only reads never waits for changes.
  */
-class RateBudget(requestsPerS: Double, changesPerS: Double, private val nowMs: () -> Long) {
-    private class Bucket(val perS: Double, var filledAt: Long) {
-        val size = maxOf(perS * 0.8, 1.0)
-        var level = size
+class RateBudget(requestsPerS: Double, changesPerS: Double, private val nowMs: () -> Long, private val share: () -> Share = { Share.WHOLE }) {
+    class Share(val requests: Double, val changes: Double) {
+        companion object {
+            val WHOLE = Share(1.0, 1.0)
+        }
+    }
+
+    private class Bucket(val wholePerS: Double, var filledAt: Long) {
+        var perS = wholePerS
+        var level = Double.MAX_VALUE
+        val size: Double get() = maxOf(perS * BURST, 1.0)
 
-        fun fill(now: Long) {
+        fun fill(now: Long, share: Double) {
+            perS = wholePerS * share
             level = minOf(size, level + (now - filledAt) * perS / 1000.0)
             filledAt = now
         }
 
-        fun waitMs(): Long = if (level >= 0) 0 else (-level * 1000.0 / perS).toLong() + 1
+        fun waitMs(wanted: Double = 0.0): Long = if (level >= wanted) 0 else ((wanted - level) * 1000.0 / perS).toLong() + 1
     }
 
     private val requests = Bucket(requestsPerS, nowMs())
     private val changes = Bucket(changesPerS, nowMs())
+    private val duties = Mutex()
+    private val lesserDuties = Mutex()
 
     private fun fill() {
         val now = nowMs()
-        requests.fill(now)
-        changes.fill(now)
+        val share = share()
+        requests.fill(now, share.requests)
+        changes.fill(now, share.changes)
+    }
+
+    private fun use(changeCount: Int, requestCount: Int = 1) {
+        requests.level -= requestCount
+        changes.level -= changeCount
     }
 
+    private fun waitMs(changeCount: Int): Long =
+        maxOf(requests.waitMs(), if (changeCount > 0) changes.waitMs() else 0)
+
+    /** For what somebody waits for and what is bounded in number. */
     suspend fun take(changeCount: Int = 0) {
         fill()
-        requests.level -= 1
-        changes.level -= changeCount
-        val wait = maxOf(requests.waitMs(), changes.waitMs())
+        use(changeCount)
+        val wait = waitMs(changeCount)
         if (wait > 0) delay(wait)
     }
 
     /** Takes a place only if the wait is at most [maxWaitMs]; false: nothing was taken. */
     suspend fun tryTake(changeCount: Int, maxWaitMs: Long): Boolean {
         fill()
-        requests.level -= 1
-        changes.level -= changeCount
-        val wait = maxOf(requests.waitMs(), changes.waitMs())
+        use(changeCount)
+        val wait = waitMs(changeCount)
         if (wait > maxWaitMs) {
-            requests.level += 1
-            changes.level += changeCount
+            use(-changeCount, requestCount = -1)
             return false
         }
         if (wait > 0) delay(wait)
         return true
     }
 
+    /** For duties: waits until so many changes are there, and for [lesser] ones until some are left besides. */
+    suspend fun takeSpare(changeCount: Int, lesser: Boolean = false) = (if (lesser) lesserDuties else duties).withLock {
+        while (true) {
+            fill()
+            val reserve = if (lesser) changes.size * RESERVE else 0.0
+            val wait = maxOf(requests.waitMs(1.0), changes.waitMs(minOf(changeCount + reserve, changes.size)))
+            if (wait == 0L) break
+            delay(wait)
+        }
+        use(changeCount)
+    }
+
+    /** How many changes a duty may make at once without waiting for more than a second's worth. */
+    val most: Int get() {
+        fill()
+        return maxOf(1, changes.size.toInt())
+    }
+
     /** Lease renewals never wait: losing a lease costs more than a refused request. */
     fun takeAtOnce() {
         fill()
         requests.level -= 1
     }
+
+    private companion object {
+        const val BURST = 0.9
+        const val RESERVE = 0.4
+    }
 }
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -106,8 +106,13 @@
     }
 }
 
+/** Machines that may hold tasks of a zone, with their types; one key holds many, since changes are rationed. */
 @Serializable
-data class MachineRecord(@SerialName("t") val type: String = "")
+data class MachinesRecord(@SerialName("m") val types: Map<String, String> = emptyMap())
+
+/** Completed tasks of many jobs, as [TaskBits]; the names are those of [TaskBits.name]. */
+@Serializable
+data class DoneRecord(@SerialName("d") val bits: Map<String, String> = emptyMap())
 
 fun <T> encodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: T): JsonElement =
     WireJson.encodeToJsonElement(serializer, value)
@@ -115,10 +120,16 @@
 fun <T> decodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: JsonElement): T =
     WireJson.decodeFromJsonElement(serializer, value)
 
-/** Sets of tasks are kept as base64 of their bits, [CHUNK] tasks to a key. */
+/** Sets of tasks are kept as base64 of their bits, [CHUNK] tasks under one name. */
 object TaskBits {
     const val CHUNK = 16_384
 
+    fun name(job: String, chunk: Int): String = if (chunk == 0) job else "$job.$chunk"
+
+    fun job(name: String): String = name.substringBefore('.')
+
+    fun chunk(name: String): Int = name.substringAfter('.', "0").toInt()
+
     fun encode(bits: BitSet, chunk: Int): String =
         Base64.getEncoder().withoutPadding().encodeToString(bits.get(chunk * CHUNK, (chunk + 1) * CHUNK).toByteArray())
 
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import org.slf4j.LoggerFactory
+import java.util.TreeMap
 import kotlin.random.Random
 
 class Entry(val value: JsonElement, val version: Long)
@@ -18,7 +19,7 @@
  */
 class Replica(private val client: StateClient, private val random: Random, private val pauseMs: Long) {
     private val log = LoggerFactory.getLogger(Replica::class.java)
-    private val entries = HashMap<String, Entry>()
+    private val entries = TreeMap<String, Entry>()
     private val reached = MutableStateFlow(-1L)
     private val barrier = Barrier()
 
@@ -34,7 +35,7 @@
     operator fun get(key: String): Entry? = entries[key]
 
     fun under(prefix: String): List<Pair<String, Entry>> =
-        entries.entries.filter { it.key.startsWith(prefix) }.map { it.key to it.value }
+        entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { it.key to it.value }
 
     /** Keeps the copy up to date until cancelled. */
     suspend fun follow() {
--- a/src/main/kotlin/io/otterknot/state/Writer.kt
+++ b/src/main/kotlin/io/otterknot/state/Writer.kt
@@ -28,16 +28,18 @@
         val guards = ArrayList<Guard>()
         val changes = ArrayList<Change>()
         var bytes = 0
+        val most = minOf(maxChanges, client.budget.most)
         for (wish in wishes) {
             val entry = replica[wish.key]
             if (entry?.value == wish.value) continue
-            if (changes.size >= maxChanges || bytes > maxBytes) break
+            val size = wish.key.length * 2 + 80 + (wish.value?.toString()?.length ?: 0)
+            if (changes.size >= most || changes.isNotEmpty() && bytes + size > maxBytes) break
             guards.add(Guard(wish.key, entry?.version ?: 0))
             changes.add(if (wish.value == null) Change(remove = wish.key) else Change(put = wish.key, value = wish.value))
-            bytes += wish.key.length * 2 + 80 + (wish.value?.toString()?.length ?: 0)
+            bytes += size
         }
         if (changes.isEmpty()) return false
-        client.budget.take(changes.size)
+        client.budget.takeSpare(changes.size)
         guards.add(owner)
         when (val outcome = client.txn(guards, changes)) {
             is TxnOutcome.Applied -> replica.reach(outcome.revision, REACH_MS)
