Parts of a silent owner are claimed at once; machines that have the image come first

Safety: a fence moves only after its parts are confirmed, and a claimant waits for the earlier owner's fence as well before time alone settles a doubt; a mark in the same transaction tells later claimants (tests: three cluster cases, PartTest).

--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -17,6 +17,7 @@
 import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.peer.Announcer
 import io.otterknot.peer.IdleParts
+import io.otterknot.peer.PEER_ANSWER_MS
 import io.otterknot.peer.PeerMessage
 import io.otterknot.peer.PeerRelay
 import io.otterknot.peer.PeerTransport
@@ -75,6 +76,7 @@
     private val stateLink = StateLink(links.state, contact, relays)
     private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget)
     private val directState = links.state
+    private val peers = links.peers
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
     private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
@@ -84,10 +86,13 @@
     private val ownership = Ownership(
         settings.label, zones, domains, state, replica,
         leaseTtlMs(facts.workers.leaseS, facts.workers.cancelS), nowMs, random,
-        onClaim = { zone, token -> claimed += zone to token },
+        machinesOf = { registered(it).size },
+        onClaim = { zone, token, overriding -> claimed += Claim(zone, token, overriding) },
         onLoss = { parts.remove(it) },
     )
-    private val claimed = ArrayList<Pair<String, Long>>()
+    private class Claim(val zone: String, val token: Long, val overriding: Boolean)
+
+    private val claimed = ArrayList<Claim>()
     private val cloud = CloudClient(
         links.cloud,
         RateBudget(facts.cloud.rps, 1.0, nowMs) { RateBudget.Share(share(EVEN_CALLS), 1.0) },
@@ -140,6 +145,7 @@
         duty("handover") { handover.balance() }
         duty("allotments") { allotments.share() }
         duty("announcements") { announcer.announce() }
+        duty("work") { seekWork() }
         duty("sweep") {
             var slowUntilMs = Long.MIN_VALUE
             while (true) {
@@ -167,8 +173,21 @@
         }
     }
 
-    suspend fun peer(message: PeerMessage): PeerMessage =
-        if (message is PeerMessage.Carry) carry(message) else idleParts.take(message, nowMs())
+    suspend fun peer(message: PeerMessage): PeerMessage {
+        if (message is PeerMessage.Carry) return carry(message)
+        // A part that is not settled yet would only be in doubt for longer.
+        if (message is PeerMessage.Yield && parts[message.zone]?.settled == true) ownership.yieldTo(message.zone, message.owned)
+        return idleParts.take(message, nowMs())
+    }
+
+    /** A node that owns nothing while another has several parts asks for one, some time after it came up. */
+    private suspend fun seekWork() {
+        while (true) {
+            delay(SEEK_MS + random.nextLong(SEEK_MS))
+            val (zone, owner) = ownership.wanted() ?: continue
+            peers[owner]?.ask(PeerMessage.Yield(zone, ownership.owned), PEER_ANSWER_MS)
+        }
+    }
 
     /** Asks the state service for another controller, which has taken the request out of its own share. */
     private suspend fun carry(message: PeerMessage.Carry): PeerMessage {
@@ -212,6 +231,8 @@
                 val part = parts[zone] ?: return
                 part.registeredNow(registered(zone).keys)
             }
+            key.startsWith(Keys.PARTS) -> ownership.partChanged(key.substring(Keys.PARTS.length), entry?.version)
+            key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(key.substring(Keys.OVERRIDES.length), entry != null)
             key == Keys.TYPES -> if (entry != null) fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
             key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
             key.startsWith(Keys.MEANS) -> {
@@ -244,12 +265,15 @@
     /** A claimed part is taken up once the replica holds everything that was written before the claim. */
     private fun takeUpClaims() {
         if (fleet.types == null) return
-        val due = claimed.filter { replica.revision >= it.second }
+        val due = claimed.filter { replica.revision >= it.token }
         claimed.removeAll(due)
-        for ((zone, token) in due) {
+        for (claim in due) {
+            val zone = claim.zone
+            val token = claim.token
             if (ownership.claimed(zone) != token) continue
             val registered = registered(zone)
-            val part = Part(zone, token, nowMs(), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(zone), registered)
+            val now = nowMs()
+            val part = Part(zone, token, now, ownership.othersUntilMs(zone, claim.overriding), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(zone), registered)
             jobs.live.values.forEach { part.updateJob(it, inherited = true) }
             parts[zone] = part
             log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
@@ -287,6 +311,7 @@
         const val MAX_BATCH = 16
         const val MAX_RECORD_BYTES = 4_000
         const val ISOLATED_MS = 3_500L
+        const val SEEK_MS = 6_000L
         const val SWEEP_MS = 500L
         const val SLOW_MS = 1_500L
         const val SLOW_FOR_MS = 5_000L
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -58,7 +58,11 @@
     }
 
     /** The most pressing first: a batch may not take all. */
-    private fun wishes(part: Part): List<Wish> = machines(part) + completions(part) + listOfNotNull(mean(part))
+    private fun wishes(part: Part): List<Wish> = machines(part) + completions(part) + listOfNotNull(override(part), mean(part))
+
+    /** That an earlier owner may still act is of no interest any more once it surely does not. */
+    private fun override(part: Part): Wish? =
+        if (replica[Keys.override(part.zone)] != null && nowMs() > part.othersUntilMs) Wish(Keys.override(part.zone), null) else null
 
     // ---- machines
 
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -11,6 +11,7 @@
 import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
+import kotlinx.serialization.json.JsonPrimitive
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -27,7 +28,10 @@
     private val ttlMs: Long,
     private val nowMs: () -> Long,
     private val random: Random,
-    private val onClaim: (zone: String, token: Long) -> Unit,
+    /** How many machines are registered in a zone. */
+    private val machinesOf: (zone: String) -> Int,
+    /** [overriding]: the owner before may still act, until its fence ends. */
+    private val onClaim: (zone: String, token: Long, overriding: Boolean) -> Unit,
     private val onLoss: (zone: String) -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(Ownership::class.java)
@@ -36,10 +40,31 @@
     private var lease: Long? = null
     private val tokens = HashMap<String, Long>()
     private val unownedSince = HashMap<String, Long>()
+    private val straySince = HashMap<String, Long>()
+    val strays = Strays()
 
     /** The token of [zone] if this node may give commands there now. */
     fun token(zone: String): Long? = tokens[zone]?.takeIf { fence.holds(nowMs()) }
 
+    /**
+     * Until when some earlier owner of [zone], claimed from it without its doing, may still act: its fence was moved
+     * last before that claim. A claim that came through late, and a claimant that ended at once, leave the mark, and
+     * it counts from when this node saw it.
+     */
+    fun othersUntilMs(zone: String, overriding: Boolean): Long {
+        val now = nowMs()
+        val seen = overrideSeenMs[zone]
+        return maxOf(now, if (overriding) now + ttlMs else 0, if (seen == null) 0 else seen + ttlMs)
+    }
+
+    private val overrideSeenMs = HashMap<String, Long>()
+
+    fun overrideChanged(zone: String, present: Boolean) {
+        if (present) overrideSeenMs[zone] = nowMs() else overrideSeenMs.remove(zone)
+    }
+
+    private fun overrideMark(zone: String) = Change(put = Keys.override(zone), value = JsonPrimitive(incarnation))
+
     /** The token of [zone] whether or not the fence holds; guards of transactions need no fence. */
     fun claimed(zone: String): Long? = tokens[zone]
 
@@ -70,21 +95,78 @@
             }
             when (client.renewLease(held)) {
                 RenewOutcome.Renewed -> {
-                    if (!fence.holds(sent)) log.info("the lease is good again")
-                    fence.renewed(sent)
-                    delay(ttlMs / RENEWALS)
-                }
-                RenewOutcome.Gone -> {
-                    log.warn("the lease has ended")
-                    lease = null
-                    fence.lost()
-                    tokens.keys.toList().forEach(::superseded)
+                    // The fence is moved only while the parts are still this node's: another may have claimed one whose
+                    // workers came to it, and counts on this node to stop no later than a lease after that.
+                    if (confirm()) {
+                        if (!fence.holds(sent)) log.info("the lease is good again")
+                        fence.renewed(sent)
+                        delay(ttlMs / RENEWALS)
+                    } else {
+                        delay(400 + random.nextLong(600))
+                    }
                 }
+                RenewOutcome.Gone -> leaseEnded()
                 RenewOutcome.Failed -> delay(400 + random.nextLong(600))
             }
         }
     }
 
+    private fun leaseEnded() {
+        log.warn("the lease has ended")
+        lease = null
+        fence.lost()
+        tokens.keys.toList().forEach(::superseded)
+    }
+
+    /** Whether every part is still owned under its token; those that are not are let go. False: not known. */
+    private suspend fun confirm(): Boolean {
+        if (tokens.isEmpty()) return true
+        val asked = tokens.toMap()
+        client.budget.takeAtOnce()
+        return when (val outcome = client.txn(asked.map { (zone, token) -> Guard(Keys.part(zone), token) }, emptyList())) {
+            is TxnOutcome.Applied -> true
+            is TxnOutcome.Conflict -> {
+                for ((zone, token) in asked) if (Keys.part(zone) in outcome.failed && tokens[zone] == token) superseded(zone)
+                false
+            }
+            is TxnOutcome.Refused, is TxnOutcome.Unknown -> false
+        }
+    }
+
+    /** The replica shows a change of a part's key, before any later change: what is written from then on is not ours. */
+    fun partChanged(zone: String, version: Long?) {
+        straySince.remove(zone)
+        strays.forget(zone)
+        val own = tokens[zone] ?: return
+        if (version != null && version > own) superseded(zone)
+    }
+
+    /** Gives a part up so that the node that asks for it may claim it; it stops acting for it before anybody can. */
+    suspend fun yieldTo(zone: String, others: Int) {
+        val token = tokens[zone] ?: return
+        if (tokens.size < others + 2) return
+        log.info("giving {} up to a node with less to do", zone)
+        tokens.remove(zone)
+        onLoss(zone)
+        client.budget.take(1)
+        // If this is lost, the key still shows this node's label, and this node claims the part again.
+        client.txn(listOf(Guard(Keys.part(zone), token)), listOf(Change(remove = Keys.part(zone))))
+        yieldedMs[zone] = nowMs()
+    }
+
+    private val yieldedMs = HashMap<String, Long>()
+
+    /** A part that this node should rather own than its owner, who has far more to do. */
+    fun wanted(): Pair<String, String>? {
+        if (tokens.isNotEmpty() || !fence.holds(nowMs())) return null
+        val owners = zones.mapNotNull { zone -> ownerOf(zone)?.let { zone to it } }
+        val busy = owners.groupBy({ it.second }, { it.first }).filter { it.value.size >= 2 }
+        val mine = busy.entries.flatMap { (owner, owned) -> owned.map { it to owner } }
+        return mine.minByOrNull { (zone, _) -> claimRank(zone, zones, label, domains) }
+    }
+
+    val owned: Int get() = tokens.size
+
     suspend fun claimParts() {
         while (true) {
             val held = lease
@@ -104,7 +186,9 @@
             return
         }
         val now = nowMs()
+        var overriding = false
         if (entry == null) {
+            if (now - (yieldedMs[zone] ?: Long.MIN_VALUE / 2) < YIELD_MS) return
             val since = unownedSince.getOrPut(zone) { now }
             val rank = claimRank(zone, zones, label, domains)
             val owned = tokens.size
@@ -112,27 +196,46 @@
         } else {
             unownedSince.remove(zone)
             // A key with this node's label that this process did not put is a predecessor's: that process is dead.
-            if (decodeRecord(PartRecord.serializer(), entry.value).owner != label) return
+            if (decodeRecord(PartRecord.serializer(), entry.value).owner != label) {
+                if (!abandoned(zone, now)) return
+                overriding = true
+                log.info("{} does not answer its workers; taking {} over", ownerOf(zone), zone)
+            }
         }
         val key = Keys.part(zone)
         val record = encodeRecord(PartRecord.serializer(), PartRecord(label, incarnation))
-        client.budget.take(1)
-        val outcome = client.txn(listOf(Guard(key, entry?.version ?: 0)), listOf(Change(put = key, value = record, lease = held)))
+        client.budget.take(if (overriding) 2 else 1)
+        val claim = Change(put = key, value = record, lease = held)
+        val outcome = client.txn(listOf(Guard(key, entry?.version ?: 0)), if (overriding) listOf(claim, overrideMark(zone)) else listOf(claim))
         when (outcome) {
             is TxnOutcome.Applied -> {
                 tokens[zone] = outcome.revision
                 unownedSince.remove(zone)
                 log.info("owner of {} with token {}", zone, outcome.revision)
-                onClaim(zone, outcome.revision)
+                onClaim(zone, outcome.revision, overriding)
             }
             is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
-            is TxnOutcome.Refused -> if (outcome.status == 400) lease = null
+            is TxnOutcome.Refused -> if (outcome.status == 400) leaseEnded()
             // If it is carried out after all, the key shows this label and is claimed once more under a new token.
             is TxnOutcome.Unknown -> log.info("claim of {} without an answer: {}", zone, outcome.why)
         }
     }
 
+    /** Its workers come here again and again; of the nodes that see this, one with less to do is first. */
+    private fun abandoned(zone: String, now: Long): Boolean {
+        if (strays.count(zone, now) < minOf(STRAYS, maxOf(1, machinesOf(zone) / 2))) {
+            straySince.remove(zone)
+            return false
+        }
+        val since = straySince.getOrPut(zone) { now + random.nextLong(STRAY_JITTER_MS) }
+        return now - since >= tokens.size * STRAY_OWNED_MS
+    }
+
     private companion object {
+        const val STRAYS = 3
+        const val STRAY_JITTER_MS = 300L
+        const val STRAY_OWNED_MS = 500L
+        const val YIELD_MS = 4_000L
         const val RENEWALS = 7
         const val CLAIM_EVERY_MS = 250L
         const val RANK_MS = 3_000L
--- a/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -17,6 +17,9 @@
     /** [sound]: the state service answers this node. */
     data class Known(val parts: Int, val sound: Boolean) : PeerMessage
 
+    /** Let me own the part of [zone], since I own [owned] parts only. */
+    data class Yield(val zone: String, val owned: Int) : PeerMessage
+
     /** Ask the state service this for me. */
     class Carry(val method: String, val target: String, val body: ByteArray?, val timeoutMs: Int) : PeerMessage
 
@@ -39,6 +42,7 @@
                 body.writeByte(5).writeName(message.method).writeName(message.target).writeInt(message.timeoutMs)
                 body.writeInt(message.body?.size ?: -1).write(message.body ?: EMPTY)
             }
+            is PeerMessage.Yield -> body.writeByte(7).writeName(message.zone).writeInt(message.owned)
             is PeerMessage.Carried -> body.writeByte(6).writeInt(message.status).writeInt(message.body.size).write(message.body)
         }
         return Buffer().writeInt(body.size.toInt()).also { it.writeAll(body) }.readByteArray()
@@ -55,6 +59,7 @@
                 4 -> PeerMessage.Known(buffer.readInt(), buffer.readByte().toInt() != 0)
                 5 -> PeerMessage.Carry(buffer.readName(), buffer.readName(), timeoutMs = buffer.readInt(), body = buffer.readBytes())
                 6 -> PeerMessage.Carried(buffer.readInt(), buffer.readBytes() ?: EMPTY)
+                7 -> PeerMessage.Yield(buffer.readName(), buffer.readInt())
                 else -> throw Malformed("unknown kind of message $kind")
             }
             if (!buffer.exhausted()) throw Malformed("bytes after the message")
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -74,7 +74,9 @@
     var firstSeenMs = 0L
     var silent = false
     val attempts = Long2ObjectLinkedOpenHashMap<Attempt>()
-    val images = LinkedHashSet<String>()
+
+    /** Images that it has or is fetching, with their sizes; the ones used longest ago first. */
+    val images = LinkedHashMap<String, Double>()
 
     /** Jobs whose tasks failed here and are not tried here again before the time given. */
     val failedJobs = HashMap<String, Long>()
@@ -92,6 +94,14 @@
     /** It gets nothing new until a later report proves that answers arrive: one task at a time tries that. */
     val deaf: Boolean get() = lostAnswers >= DEAF
 
+    /** Uses an image. What the machine has no space for besides has been dropped there, the longest unused first. */
+    fun uses(spec: JobSpec) {
+        images.remove(spec.image)
+        images[spec.image] = spec.imageGb
+        var size = images.values.sum()
+        while (size > type.cacheGb && images.size > 1) size -= images.remove(images.keys.first()) ?: 0.0
+    }
+
     fun avoids(jobId: String, now: Long): Boolean = failedJobs.isNotEmpty() && (failedJobs[jobId] ?: Long.MIN_VALUE) > now
 
     var usedCores = 0.0
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -50,6 +50,8 @@
     val zone: String,
     val token: Long,
     private val claimedMs: Long,
+    /** Until when an earlier owner may have given answers to the machines. */
+    val othersUntilMs: Long,
     private val times: PartTimes,
     random: Random,
     aims: Aims,
@@ -282,7 +284,7 @@
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
         // then falls silent, its lease ends that much later than those of machines never heard of.
-        suspects.keys.removeIf { id -> now - maxOf(claimedMs, machine(id)?.leaseFromMs ?: claimedMs) > times.surelyOverMs }
+        suspects.keys.removeIf { id -> now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) > times.surelyOverMs }
         if (suspects.isNotEmpty()) return
         settled = true
         var count = 0
@@ -356,7 +358,7 @@
     private fun unknowing(machine: Machine, again: Boolean, now: Long) {
         machine.reconciled = false
         if (again) machine.lostAnswers++
-        if (now - claimedMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id) != null) settle(now)
+        if (now - othersUntilMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id) != null) settle(now)
     }
 
     /** What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always will. */
@@ -431,10 +433,8 @@
             if (phase == Phase.RUNNING) {
                 attempt.since = now
                 held.begun = true
-                machine.images.remove(held.spec.image)
-                machine.images.add(held.spec.image)
-                if (machine.images.size > MAX_IMAGES) machine.images.remove(machine.images.first())
             }
+            machine.uses(held.spec)
             attempt.phase = phase
         }
     }
@@ -628,7 +628,6 @@
 
     private companion object {
         const val ATTEMPT_BITS = 24
-        const val MAX_IMAGES = 12
         const val FAULTY = 3
         const val AVOID_MS = 15_000L
         const val PROBE_MS = 3_000L
--- a/src/main/kotlin/io/otterknot/placement/Saqr.kt
+++ b/src/main/kotlin/io/otterknot/placement/Saqr.kt
@@ -40,21 +40,19 @@
         }
     }
 
-    /**
-     * Chooses a place for a task that takes [share] of each and books it there; null: none fits. Which of several
-     * idle places is taken is open in the design: [prefer] says which is liked better.
-     */
-    fun choose(random: Random, share: (P) -> Double, prefer: (P) -> Boolean): P? =
-        chooseIdle(random, prefer)?.also { it.take(share(it)) } ?: chooseLighter(random, share)
+    /** Chooses a place for a task that takes [share] of each and books it there; null: none fits. */
+    fun choose(random: Random, share: (P) -> Double): P? =
+        chooseIdle(random)?.also { it.take(share(it)) } ?: chooseLighter(random, share)
 
-    private fun chooseIdle(random: Random, prefer: (P) -> Boolean): P? {
-        if (idle.isEmpty()) return null
-        idle.removeIf { !it.idle || !fits(it) }
-        if (idle.isEmpty()) return null
-        val liked = idle.count(prefer)
-        if (liked == 0) return idle[random.nextInt(idle.size)]
-        var skip = random.nextInt(liked)
-        return idle.first { prefer(it) && skip-- == 0 }
+    private fun chooseIdle(random: Random): P? {
+        while (idle.isNotEmpty()) {
+            val at = random.nextInt(idle.size)
+            val place = idle[at]
+            val last = idle.removeAt(idle.size - 1)
+            if (at < idle.size) idle[at] = last
+            if (place.idle && fits(place)) return place
+        }
+        return null
     }
 
     private fun chooseLighter(random: Random, share: (P) -> Double): P? {
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -4,17 +4,24 @@
 import io.otterknot.wire.Priority
 import kotlin.random.Random
 
-/** Where the tasks of one job may go now; spot machines before ordinary ones where others may run on those only. */
+/**
+ * Where the tasks of one job may go now, in groups of which the first that has room is taken: machines that have its
+ * image before others, since a fetch holds the task's cores for as long as it takes; and where some work may run on
+ * ordinary machines only, spot machines before those.
+ */
 class JobCandidates(machines: List<Machine>, spec: JobSpec, spotFirst: Boolean, fits: (Machine) -> Boolean) {
-    private val groups: List<Candidates<Machine>> =
-        if (spec.spot && spotFirst) {
-            listOf(Candidates(machines.filter { it.spot }, fits), Candidates(machines.filter { !it.spot }, fits))
-        } else {
-            listOf(Candidates(machines, fits))
+    private val groups = ArrayList<Candidates<Machine>>()
+
+    init {
+        val kinds = if (spec.spot && spotFirst) machines.partition { it.spot }.toList() else listOf(machines)
+        for (kind in kinds) {
+            groups.add(Candidates(kind.filter { spec.image in it.images }, fits))
+            groups.add(Candidates(kind, fits))
         }
+    }
 
     fun choose(random: Random, spec: JobSpec): Machine? =
-        groups.firstNotNullOfOrNull { group -> group.choose(random, { it.share(spec) }, { spec.image in it.images }) }
+        groups.firstNotNullOfOrNull { group -> group.choose(random) { it.share(spec) } }
 }
 
 /** What the scheduler asks of the ledger and tells it. */
--- a/src/main/kotlin/io/otterknot/state/Keys.kt
+++ b/src/main/kotlin/io/otterknot/state/Keys.kt
@@ -9,6 +9,7 @@
     const val MACHINES = "o/m/"
     const val MEANS = "o/s/"
     const val ALLOTMENTS = "o/q/"
+    const val OVERRIDES = "o/x/"
 
     const val TYPES = "o/t"
 
@@ -17,6 +18,7 @@
     fun part(zone: String) = PARTS + zone
     fun machines(zone: String) = "$MACHINES$zone/"
     fun machines(zone: String, segment: Int) = "$MACHINES$zone/$segment"
+    fun override(zone: String) = OVERRIDES + zone
     fun mean(zone: String) = MEANS + zone
     fun allotment(team: String) = ALLOTMENTS + team
 }
--- a/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
+++ b/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
@@ -7,6 +7,7 @@
 import io.otterknot.wire.Commands
 import io.otterknot.wire.Malformed
 import io.otterknot.wire.Redirect
+import io.otterknot.wire.Report
 import io.otterknot.wire.parseReport
 
 /** Where workers' reports come in: answered by the owner of the machine's part, redirected by everyone else. */
@@ -24,7 +25,7 @@
         }
         val zone = report.zone
         // The fence is asked after the report came in: an answer given now counts from a report sent earlier.
-        val token = ownership.token(zone) ?: return elsewhere(zone)
+        val token = ownership.token(zone) ?: return elsewhere(report)
         if (report.token > token) return lost(zone)
         // Claimed, but not everything written before the claim has been read yet: no commands, only the new token.
         val part = parts[zone]?.takeIf { it.token == token } ?: return answer(token, emptyList())
@@ -40,9 +41,11 @@
         return HttpResponse.refusal(503, "$label has lost $zone")
     }
 
-    private fun elsewhere(zone: String): HttpResponse {
+    private fun elsewhere(report: Report): HttpResponse {
+        val zone = report.zone
         val owner = ownership.ownerOf(zone)
         if (owner == null || owner == label) return HttpResponse.refusal(503, "nobody may act for $zone at the moment")
+        ownership.strays.sent(zone, report.machine, nowMs())
         return HttpResponse.json(421, Redirect.serializer(), Redirect(owner))
     }
 
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -16,6 +16,9 @@
 import io.otterknot.http.Reply
 import io.otterknot.http.Transport
 import io.otterknot.peer.PeerTransport
+import io.otterknot.state.Keys
+import io.otterknot.state.PartRecord
+import io.otterknot.state.decodeRecord
 import io.otterknot.wire.Command
 import io.otterknot.wire.Commands
 import io.otterknot.wire.JobSpec
@@ -264,6 +267,11 @@
     fun boot(zone: String, spot: Boolean): Worker =
         Worker("m-%06d".format(++lastMachine), zone, spot).also { workers[it.id] = it }
 
+    /** Who owns which part, as the state service says. */
+    fun owners(): Map<String, String> = zones.mapNotNull { zone ->
+        state.value(Keys.part(zone))?.let { zone to decodeRecord(PartRecord.serializer(), it).owner }
+    }.toMap()
+
     fun machines(): List<Worker> = workers.values.toList()
 
     // ---- workers
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -281,6 +281,42 @@
                 machines().take(2).forEach { it.faulty = true }
                 delay(20_000)
             },
+            Case("a crashed controller's parts are taken over before its machines' leases end") {
+                crash("holt-a")
+                delay(9_000)
+                if (owners().containsValue("holt-a")) broken.add("a crashed controller still owns parts")
+                startNode("holt-a")
+                delay(30_000)
+                if ("holt-a" !in owners().values) broken.add("a controller that came back got no part: ${owners()}")
+            },
+            Case("a claim from a live owner, the claimant ends at once") {
+                // The first owner may act until its fence ends, whoever claims after the claimant.
+                cutNodes.add("holt-a")
+                while (owners()["a"] == "holt-a") delay(50)
+                val claimant = owners().getValue("a")
+                crash(claimant)
+                delay(150)
+                startNode(claimant)
+                delay(3_000)
+                crash(claimant)
+                delay(30_000)
+                cutNodes.clear()
+                startNode(claimant)
+            },
+            Case("owners that lose their workers for a while, again and again") {
+                repeat(6) {
+                    val node = nodes.random(random)
+                    cutNodes.add(node)
+                    delay(3_000 + random.nextLong(8_000))
+                    cutNodes.remove(node)
+                    if (random.nextBoolean()) {
+                        crash(node)
+                        delay(300)
+                        startNode(node)
+                    }
+                    delay(random.nextLong(4_000))
+                }
+            },
             Case("a controller is cut off from the workers") {
                 cutNodes.add("holt-b")
                 delay(30_000)
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -3,6 +3,7 @@
 import io.otterknot.config.BadSettings
 import io.otterknot.config.SettingsFile
 import io.otterknot.ownership.Fence
+import io.otterknot.ownership.Strays
 import io.otterknot.ownership.claimRank
 import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.state.RateBudget
@@ -100,6 +101,24 @@
         assertTrue(changesIn(2_000) in 8..16)
     }
 
+    @Test
+    fun `machines that come back from an owner that does not answer are counted, others are not`() {
+        val strays = Strays()
+        listOf("m1", "m2", "m3").forEach { strays.sent("a", it, 1_000) }
+        strays.sent("a", "m1", 1_300)
+        assertEquals(0, strays.count("a", 1_400), "it may have crossed the first answer")
+        strays.sent("a", "m1", 2_500)
+        strays.sent("a", "m2", 2_800)
+        strays.sent("b", "m9", 2_800)
+        assertEquals(2, strays.count("a", 3_000))
+        assertEquals(0, strays.count("a", 9_000), "that was long ago")
+        strays.sent("a", "m3", 20_000)
+        assertEquals(0, strays.count("a", 20_100), "it was served well for a while")
+        strays.sent("a", "m3", 21_000)
+        strays.forget("a")
+        assertEquals(0, strays.count("a", 21_100))
+    }
+
     @Test
     fun `sets of tasks are kept in chunks`() {
         val bits = BitSet().also { it.set(3); it.set(TaskBits.CHUNK - 1); it.set(TaskBits.CHUNK + 5) }
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -27,8 +27,8 @@
     private val type = MachineType("big", 8.0, 0.0, 64.0)
     private val seqs = HashMap<String, Long>()
 
-    private fun part(registered: List<String> = emptyList(), limit: Double = 1e9) = Part(
-        "a", 7, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type },
+    private fun part(registered: List<String> = emptyList(), limit: Double = 1e9, othersUntil: Long = 0) = Part(
+        "a", 7, 0, othersUntil, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type },
         listOf(TeamShare("red", 1.0, Amount(limit, 0.0)), TeamShare("blue", 1.0, Amount(1e9, 0.0))), registered.associateWith { "big" },
     )
 
@@ -291,4 +291,19 @@
         }
         assertEquals(1, starts.count { it.startsWith("j-000002") })
     }
+
+    /** The owner before may not know yet that its part was claimed: what is not known by a report waits for its fence too. */
+    @Test
+    fun `after a part was claimed from an owner that may still act, time alone settles nothing before that owner's end`() {
+        for ((others, settles) in listOf(0L to 10_800L, 22_000L to 32_800L)) {
+            val part = part(listOf("m1", "gone"), othersUntil = others)
+            part.updateJob(job(1, 1), inherited = true)
+            var startedAt = 0L
+            for (now in 100L..40_000L step 100) {
+                part.sweep(now)
+                if (startedAt == 0L && part.hear("m1", 7, now).starts().isNotEmpty()) startedAt = now
+            }
+            assertEquals(settles, startedAt)
+        }
+    }
 }
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -43,7 +43,7 @@
     fun `two samples are weighed by load and drift`(l1: Double, d1: Double, l2: Double, d2: Double, share: Double, taker: Int, load: Double, drift: Double) {
         for (seed in 1L..8L) {
             val places = listOf(place(l1, d1), place(l2, d2))
-            val taken = Candidates(places) { true }.choose(Random(seed), { share }, { false })
+            val taken = Candidates(places) { true }.choose(Random(seed)) { share }
             assertEquals(places[taker - 1], taken)
             assertEquals(load, taken!!.load, 1e-9)
             assertEquals(drift, taken.drift, 1e-9)
@@ -53,12 +53,12 @@
     @Test
     fun `an idle place comes first, one fit is taken, none waits`() {
         val idle = place(0.0, 0.0, idle = true)
-        assertEquals(idle, Candidates(listOf(place(0.0, 0.0), idle, place(0.1, 0.0))) { true }.choose(Random(1), { 0.5 }, { false }))
+        assertEquals(idle, Candidates(listOf(place(0.0, 0.0), idle, place(0.1, 0.0))) { true }.choose(Random(1)) { 0.5 })
         assertEquals(false, idle.idle)
         assertEquals(0.5, idle.load)
         val only = place(0.9, 0.05)
-        assertEquals(only, Candidates(listOf(only)) { true }.choose(Random(1), { 0.05 }, { false }))
-        assertEquals(null, Candidates(emptyList<Place>()) { true }.choose(Random(1), { 0.1 }, { true }))
+        assertEquals(only, Candidates(listOf(only)) { true }.choose(Random(1)) { 0.05 })
+        assertEquals(null, Candidates(emptyList<Place>()) { true }.choose(Random(1)) { 0.1 })
         only.reported(0.4, false)
         assertEquals(listOf(0.4, 0.0), listOf(only.load, only.drift))
     }
@@ -73,11 +73,11 @@
             val candidates = Candidates(places) { it !in full }
             full.add(places[seed % 5])
             places.forEach { it.load = 0.5; it.drift = 0.0 }
-            val chosen = candidates.choose(Random(seed), { 0.1 }, { false })!!
+            val chosen = candidates.choose(Random(seed)) { 0.1 }!!
             assertTrue(chosen !in full)
             taken.merge(places.indexOf(chosen), 1, Int::plus)
             full.addAll(places)
-            assertEquals(null, candidates.choose(Random(seed), { 0.1 }, { false }))
+            assertEquals(null, candidates.choose(Random(seed)) { 0.1 })
         }
         assertTrue(taken.values.all { it in 50..110 }, "$taken")
     }
