--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -30,6 +30,7 @@
 import io.otterknot.state.Amount
 import io.otterknot.state.Contact
 import io.otterknot.state.Entry
+import io.otterknot.state.Figures
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
 import io.otterknot.state.MachinesRecord
@@ -72,15 +73,16 @@
     private val nodes = maxOf(facts.nodes, settings.members.size + 1)
     private val zones = facts.zones
     private val budget = RateBudget(facts.state.rps, facts.state.writeRps, nowMs) { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) }
+    private val figures = Figures(nowMs)
     private val contact = Contact(nowMs)
     private val relays = Relays(links.peers.values.map(::PeerRelay), random, nowMs)
     private val stateLink = StateLink(links.state, contact, relays)
-    private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget)
+    private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget, figures)
     private val directState = links.state
     private val peers = links.peers
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
-    private val replica = Replica(state, random, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
+    private val replica = Replica(state, random, nowMs, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
     private val jobs = JobTable()
     private val parts = LinkedHashMap<String, Part>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
@@ -158,6 +160,8 @@
                 val before = nowMs()
                 delay(SWEEP_MS)
                 val now = nowMs()
+                figures.took("sweep late", now - before - SWEEP_MS)
+                figures.tellNowAndThen()
                 if (now - before > SWEEP_MS + SLOW_MS) slowUntilMs = now + SLOW_FOR_MS
                 takeUpClaims()
                 parts.values.forEach { it.sweep(now, slow = now < slowUntilMs) }
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/state/Figures.kt
@@ -0,0 +1,44 @@
+package io.otterknot.state
+
+import org.HdrHistogram.Histogram
+import org.agrona.collections.Object2LongCounterMap
+import org.slf4j.LoggerFactory
+
+/** What this node has asked of the state service and how long things took, told once a minute. */
+class Figures(private val nowMs: () -> Long) {
+    private val log = LoggerFactory.getLogger(Figures::class.java)
+    private val counts = Object2LongCounterMap<String>(0L)
+    private val times = HashMap<String, Histogram>()
+    private var sinceMs = nowMs()
+
+    fun count(what: String, number: Int = 1) {
+        counts.getAndAdd(what, number.toLong())
+    }
+
+    fun took(what: String, ms: Long) {
+        times.getOrPut(what) { Histogram(LONGEST_MS, DIGITS) }.recordValue(ms.coerceIn(0, LONGEST_MS))
+    }
+
+    fun tellNowAndThen() {
+        if (nowMs() - sinceMs < EVERY_MS) return
+        log.info("in {} s: {}; ms (half, 99%): {}", (nowMs() - sinceMs) / 1000, countsText(), timesText())
+        sinceMs = nowMs()
+        counts.clear()
+        times.values.forEach { it.reset() }
+    }
+
+    fun countsText(): String {
+        val parts = sortedMapOf<String, Long>()
+        counts.forEach { what, number -> parts[what] = number }
+        return parts.entries.joinToString { "${it.key} ${it.value}" }
+    }
+
+    fun timesText(): String = times.entries.sortedBy { it.key }.filter { it.value.totalCount > 0 }
+        .joinToString { (what, taken) -> "$what ${taken.getValueAtPercentile(50.0)}, ${taken.getValueAtPercentile(99.0)}" }
+
+    private companion object {
+        const val EVERY_MS = 60_000L
+        const val LONGEST_MS = 600_000L
+        const val DIGITS = 2
+    }
+}
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -17,7 +17,7 @@
  * A copy of everything this service keeps in the state service, changed only by the watch and so always one state
  * that the store once had, at [revision]. Own transactions show here when the watch brings them, never before.
  */
-class Replica(private val client: StateClient, private val random: Random, private val pauseMs: Long) {
+class Replica(private val client: StateClient, private val random: Random, private val nowMs: () -> Long, private val pauseMs: Long) {
     private val log = LoggerFactory.getLogger(Replica::class.java)
     private val entries = TreeMap<String, Entry>()
     private val reached = MutableStateFlow(-1L)
@@ -125,7 +125,8 @@
     suspend fun upToDate(timeoutMs: Long): Boolean {
         if (!loaded) return false
         val place = barrier.enter()
-        return withTimeoutOrNull(timeoutMs) { place.await() } ?: false
+        val began = nowMs()
+        return (withTimeoutOrNull(timeoutMs) { place.await() } ?: false).also { client.figures.took("barrier", nowMs() - began) }
     }
 
     /** Serves the barrier until cancelled. */
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -39,10 +39,11 @@
 }
 
 /** The state service's interface, within this node's share of its limits. */
-class StateClient(private val http: Transport, private val watchHttp: Transport, val budget: RateBudget) {
+class StateClient(private val http: Transport, private val watchHttp: Transport, val budget: RateBudget, val figures: Figures) {
 
     suspend fun list(prefix: String, after: String?): StoredPage? {
         budget.take()
+        figures.count("lists")
         val from = if (after == null) "" else "&After=$after"
         return decode(StoredPage.serializer(), http.call("GET", "/store?Under=$prefix$from&Page=200", null, LIST_MS))
     }
@@ -50,6 +51,7 @@
     /** The revision that the service has reached, read from an absent key; null if it does not say. */
     suspend fun revision(): Long? {
         budget.take()
+        figures.count("barrier reads")
         val reply = http.call("GET", "/store/o/none", null, READ_MS)
         if (reply !is Reply.Answer || reply.status != 404) return null
         return parse(Revision.serializer(), reply)?.revision
@@ -57,6 +59,8 @@
 
     /** The caller has taken its place in [budget]. */
     suspend fun txn(guards: List<Guard>, changes: List<Change>): TxnOutcome {
+        figures.count("transactions")
+        figures.count("changes", changes.size)
         val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
         return when (val reply = http.call("POST", "/txn", body, TXN_MS)) {
             is Reply.None -> TxnOutcome.Unknown(reply.why)
@@ -77,6 +81,7 @@
 
     suspend fun renewLease(lease: Long): RenewOutcome {
         budget.takeAtOnce()
+        figures.count("renewals")
         val reply = http.call("POST", "/holds/$lease/extend", EMPTY, RENEW_MS)
         return when ((reply as? Reply.Answer)?.status) {
             200 -> RenewOutcome.Renewed
@@ -87,6 +92,7 @@
 
     suspend fun watch(prefix: String, after: Long, waitMs: Long): WatchOutcome {
         budget.take()
+        figures.count("watches")
         val reply = watchHttp.call("GET", "/watch?Under=$prefix&After=$after&WaitMs=$waitMs", null, waitMs + WATCH_SLACK_MS)
         return when {
             reply is Reply.None -> WatchOutcome.Failed(reply.why)
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -6,6 +6,7 @@
 import io.otterknot.ownership.Strays
 import io.otterknot.ownership.claimRank
 import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.state.Figures
 import io.otterknot.state.RateBudget
 import io.otterknot.state.TaskBits
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -119,6 +120,16 @@
         assertEquals(0, strays.count("a", 21_100))
     }
 
+    @Test
+    fun `figures are counted and told`() {
+        val figures = Figures { 0 }
+        figures.count("changes", 3)
+        figures.count("changes")
+        for (ms in 1L..100L) figures.took("barrier", ms)
+        assertEquals("changes 4", figures.countsText())
+        assertEquals("barrier 50, 99", figures.timesText())
+    }
+
     @Test
     fun `sets of tasks are kept in chunks`() {
         val bits = BitSet().also { it.set(3); it.set(TaskBits.CHUNK - 1); it.set(TaskBits.CHUNK + 5) }
