An owner left by its workers is replaced at the first sign of several of them

Registered machines leave an owner only if it does not answer, so three of them are sign enough when the owner is not new.

--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -89,7 +89,7 @@
     private val ownership = Ownership(
         settings.label, zones, domains, state, replica,
         leaseTtlMs(facts.workers.leaseS, facts.workers.cancelS), nowMs, random,
-        machinesOf = { registered(it).size },
+        machines = { registered(it).keys },
         onClaim = { zone, token, overriding -> claimed += Claim(zone, token, overriding) },
         onLoss = { parts.remove(it) },
     )
@@ -241,8 +241,8 @@
             key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) parts.values.forEach { it.updateDone(job) }
             key.startsWith(Keys.MACHINES) -> {
                 val zone = key.substring(Keys.MACHINES.length).substringBefore('/')
-                val part = parts[zone] ?: return
-                part.registeredNow(registered(zone).keys)
+                registered.remove(zone)
+                parts[zone]?.registeredNow(registered(zone).keys)
             }
             key.startsWith(Keys.PARTS) -> ownership.partChanged(key.substring(Keys.PARTS.length), entry?.version)
             key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(key.substring(Keys.OVERRIDES.length), entry != null)
@@ -294,12 +294,15 @@
     }
 
     /** The machines that may hold tasks of a part, with their types. */
-    private fun registered(zone: String): Map<String, String> {
+    private fun registered(zone: String): Map<String, String> = registered.getOrPut(zone) {
         val types = HashMap<String, String>()
         for ((_, entry) in replica.under(Keys.machines(zone))) types.putAll(decodeRecord(MachinesRecord.serializer(), entry.value).types)
-        return types
+        types
     }
 
+    /** As last read from the replica, until that changes. */
+    private val registered = HashMap<String, Map<String, String>>()
+
     private fun aim(objective: Objective): Aim? = when (objective.kind) {
         "wait" -> objective.withinS?.let { Aim.Started(it, objective.share ?: 0.5) }
         "finished" -> objective.withinS?.let(Aim::Finished)
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -28,8 +28,8 @@
     private val ttlMs: Long,
     private val nowMs: () -> Long,
     private val random: Random,
-    /** How many machines are registered in a zone. */
-    private val machinesOf: (zone: String) -> Int,
+    /** The machines that are registered in a zone. */
+    private val machines: (zone: String) -> Set<String>,
     /** [overriding]: the owner before may still act, until its fence ends. */
     private val onClaim: (zone: String, token: Long, overriding: Boolean) -> Unit,
     private val onLoss: (zone: String) -> Unit,
@@ -41,7 +41,14 @@
     private val tokens = HashMap<String, Long>()
     private val unownedSince = HashMap<String, Long>()
     private val straySince = HashMap<String, Long>()
-    val strays = Strays()
+    private val ownedSinceMs = HashMap<String, Long>()
+    private val strays = Strays()
+
+    /** A machine reports here and is sent to the owner of its part. */
+    fun sentOn(zone: String, machine: String) = strays.sent(zone, machine, nowMs(), machine in machines(zone))
+
+    /** When a part was claimed from this node although it acts for it: its workers do not reach it. */
+    private var overriddenMs = Long.MIN_VALUE / 2
 
     /** The token of [zone] if this node may give commands there now. */
     fun token(zone: String): Long? = tokens[zone]?.takeIf { fence.holds(nowMs()) }
@@ -137,8 +144,11 @@
     fun partChanged(zone: String, version: Long?) {
         straySince.remove(zone)
         strays.forget(zone)
+        ownedSinceMs[zone] = nowMs()
         val own = tokens[zone] ?: return
-        if (version != null && version > own) superseded(zone)
+        if (version == null || version <= own) return
+        if (fence.holds(nowMs())) overriddenMs = nowMs()
+        superseded(zone)
     }
 
     /** Gives a part up so that the node that asks for it may claim it; it stops acting for it before anybody can. */
@@ -158,7 +168,7 @@
 
     /** A part that this node should rather own than its owner, who has far more to do. */
     fun wanted(): Pair<String, String>? {
-        if (tokens.isNotEmpty() || !fence.holds(nowMs())) return null
+        if (tokens.isNotEmpty() || !fence.holds(nowMs()) || nowMs() - overriddenMs < OVERRIDDEN_MS) return null
         val owners = zones.mapNotNull { zone -> ownerOf(zone)?.let { zone to it } }
         val busy = owners.groupBy({ it.second }, { it.first }).filter { it.value.size >= 2 }
         val mine = busy.entries.flatMap { (owner, owned) -> owned.map { it to owner } }
@@ -221,9 +231,14 @@
         }
     }
 
-    /** Its workers come here again and again; of the nodes that see this, one with less to do is first. */
+    /**
+     * Its workers come here; of the nodes that see this, one with less to do is first. Soon after a change of owner
+     * some are on their way still, and late copies of reports come to where the owner was.
+     */
     private fun abandoned(zone: String, now: Long): Boolean {
-        if (strays.count(zone, now) < minOf(STRAYS, maxOf(1, machinesOf(zone) / 2))) {
+        val longOwned = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
+        val left = longOwned && strays.left(zone, now) >= STRAYS
+        if (!left && strays.count(zone, now) < minOf(STRAYS, maxOf(1, machines(zone).size / 2))) {
             straySince.remove(zone)
             return false
         }
@@ -233,6 +248,8 @@
 
     private companion object {
         const val STRAYS = 3
+        const val LONG_OWNED_MS = 20_000L
+        const val OVERRIDDEN_MS = 45_000L
         const val STRAY_JITTER_MS = 300L
         const val STRAY_OWNED_MS = 500L
         const val YIELD_MS = 4_000L
--- a/src/main/kotlin/io/otterknot/ownership/Strays.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Strays.kt
@@ -1,25 +1,30 @@
 package io.otterknot.ownership
 
 /**
- * Machines that come back here after they were sent to their part's owner: it does not answer them. An owner that has
- * crashed, or that its workers do not reach, is found out this way long before its lease ends, and before theirs do.
+ * Machines that come here although another node owns their part. A registered one has been with its owner, and leaves it
+ * only if it gets no answer there; one that comes back after it was sent to the owner got none even now. An owner that
+ * has crashed, or that its workers do not reach, is found out this way long before its lease ends, and before theirs do.
  */
 class Strays {
-    private class Seen(val sentMs: Long, val backMs: Long)
+    private class Seen(val sentMs: Long, val backMs: Long, val left: Boolean)
 
     private val byZone = HashMap<String, HashMap<String, Seen>>()
 
-    /** A machine of [zone] reports here and is sent to the owner. */
-    fun sent(zone: String, machine: String, now: Long) {
+    /** A machine of [zone] reports here and is sent to the owner; [registered]: it had been with an owner before. */
+    fun sent(zone: String, machine: String, now: Long, registered: Boolean) {
         val seen = byZone.getOrPut(zone) { HashMap() }
         val before = seen[machine]
         when {
-            before == null || now - before.sentMs > SPAN_MS -> seen[machine] = Seen(now, Long.MIN_VALUE / 2)
-            now - before.sentMs >= BACK_MS -> seen[machine] = Seen(before.sentMs, now)
+            before == null || now - before.sentMs > SPAN_MS -> seen[machine] = Seen(now, Long.MIN_VALUE / 2, registered)
+            now - before.sentMs >= BACK_MS -> seen[machine] = Seen(before.sentMs, now, before.left)
         }
         if (seen.size > MOST) seen.values.removeIf { now - it.sentMs > SPAN_MS }
     }
 
+    /** How many have left the owner by themselves within the last seconds. */
+    fun left(zone: String, now: Long): Int = byZone[zone]?.values?.count { it.left && now - it.sentMs < FRESH_MS } ?: 0
+
+    /** How many came back from the owner. */
     fun count(zone: String, now: Long): Int = byZone[zone]?.values?.count { now - it.backMs < FRESH_MS } ?: 0
 
     /** Somebody else owns the part now. */
--- a/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
+++ b/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
@@ -45,7 +45,7 @@
         val zone = report.zone
         val owner = ownership.ownerOf(zone)
         if (owner == null || owner == label) return HttpResponse.refusal(503, "nobody may act for $zone at the moment")
-        ownership.strays.sent(zone, report.machine, nowMs())
+        ownership.sentOn(zone, report.machine)
         return HttpResponse.json(421, Redirect.serializer(), Redirect(owner))
     }
 
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -6,9 +6,19 @@
 import io.otterknot.ownership.Strays
 import io.otterknot.ownership.claimRank
 import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.state.DoneRecord
+import io.otterknot.state.Entry
 import io.otterknot.state.Figures
+import io.otterknot.state.Final
+import io.otterknot.state.JobRecord
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
 import io.otterknot.state.RateBudget
+import io.otterknot.state.Segments
 import io.otterknot.state.TaskBits
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -105,19 +115,23 @@
     @Test
     fun `machines that come back from an owner that does not answer are counted, others are not`() {
         val strays = Strays()
-        listOf("m1", "m2", "m3").forEach { strays.sent("a", it, 1_000) }
-        strays.sent("a", "m1", 1_300)
+        listOf("m1", "m2", "m3").forEach { strays.sent("a", it, 1_000, false) }
+        strays.sent("a", "m1", 1_300, false)
         assertEquals(0, strays.count("a", 1_400), "it may have crossed the first answer")
-        strays.sent("a", "m1", 2_500)
-        strays.sent("a", "m2", 2_800)
-        strays.sent("b", "m9", 2_800)
+        strays.sent("a", "m1", 2_500, false)
+        strays.sent("a", "m2", 2_800, false)
+        strays.sent("b", "m9", 2_800, false)
         assertEquals(2, strays.count("a", 3_000))
         assertEquals(0, strays.count("a", 9_000), "that was long ago")
-        strays.sent("a", "m3", 20_000)
+        strays.sent("a", "m3", 20_000, false)
         assertEquals(0, strays.count("a", 20_100), "it was served well for a while")
-        strays.sent("a", "m3", 21_000)
+        strays.sent("a", "m3", 21_000, false)
         strays.forget("a")
         assertEquals(0, strays.count("a", 21_100))
+        listOf("m1", "m2").forEach { strays.sent("a", it, 30_000, true) }
+        strays.sent("a", "new", 30_000, false)
+        assertEquals(2, strays.left("a", 30_500), "a machine that is not registered yet looks for its owner")
+        assertEquals(0, strays.left("a", 35_000))
     }
 
     @Test
@@ -186,6 +200,42 @@
         assertEquals(8.0, settings.facts.teams.single().cpusMax)
     }
 
+    @Test
+    fun `a deployment of five is read, and its zones have one first claimant each`() {
+        val more = (2..4).joinToString("") { "\n[[members]]\nlabel = \"n$it\"\ndomain = \"${"abc"[it % 3]}\"\nendpoint = \"127.0.0.1:900$it\"\n" }
+        val settings = SettingsFile.parse(good.replace("\n[endpoints]", "$more\n[endpoints]").replace("nodes = 2", "nodes = 5").replace("[\"a\", \"b\"]", "[\"a\", \"b\", \"c\"]"))
+        assertEquals(4, settings.members.size)
+        val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
+        for (zone in settings.facts.zones) assertEquals((0..4).toList(), domains.keys.map { claimRank(zone, settings.facts.zones, it, domains) }.sorted())
+    }
+
+    @Test
+    fun `many records share few keys, and only keys that change are written`() {
+        val kept = mapOf(0 to mapOf("m1" to "g", "m2" to "g"), 1 to mapOf("m3" to "g"))
+        assertEquals(emptyMap<Int, Any>(), Segments.spread(kept, emptySet(), mapOf("m2" to "g"), 2))
+        assertEquals(mapOf(1 to mapOf("m3" to "g", "m4" to "h")), Segments.spread(kept, emptySet(), mapOf("m4" to "h"), 2))
+        val full = Segments.spread(kept, setOf("m3"), mapOf("m4" to "h", "m5" to "h", "m6" to "h"), 2)
+        assertEquals(mapOf(1 to setOf("m4", "m5"), 2 to setOf("m6")), full.mapValues { it.value.keys })
+        assertEquals(mapOf(1 to emptyMap<String, String>()), Segments.spread(kept, setOf("m3"), emptyMap(), 2), "an empty one is to be removed")
+    }
+
+    @Test
+    fun `completions are told once, whatever else their segment holds, and say nothing of jobs that are over`() {
+        val table = JobTable()
+        val spec = JobSpec("j-1", "k", "t", Priority.HIGH, 4, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0)
+        fun job(id: String, final: Final?) = table.changeJob(Keys.job(id), Entry(encodeRecord(JobRecord.serializer(), JobRecord(spec.copy(id = id).takeIf { final == null }, final = final)), 1))
+        fun segment(bits: Map<String, String>) = table.changeDone(Keys.done("a", "7-0"), Entry(encodeRecord(DoneRecord.serializer(), DoneRecord(bits)), 2)).map { it.id }
+        job("j-1", null)
+        job("j-2", null)
+        assertEquals(listOf("j-1"), segment(mapOf("j-1" to "Aw")))
+        assertEquals(listOf("j-2"), segment(mapOf("j-1" to "Aw", "j-2" to "DA")))
+        assertEquals(listOf(2, 2), listOf(table["j-1"]!!.done.cardinality(), table["j-2"]!!.done.cardinality()))
+        job("j-1", Final.CANCELLED)
+        assertTrue(!table.matters("j-1") && table.matters("j-2") && table.matters("j-3.1"))
+        assertEquals(listOf("j-2"), segment(mapOf("j-1" to "Dw", "j-2" to "Dw")))
+        assertTrue(table["j-2"]!!.complete)
+    }
+
     @ParameterizedTest
     @CsvSource(
         delimiter = '|',
