--- a/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
+++ b/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
@@ -5,6 +5,7 @@
 import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpResponse
 import io.otterknot.http.HttpServer
+import io.otterknot.state.Figures
 import io.otterknot.wire.MAX_BODY_BYTES
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -85,6 +86,13 @@
         val controller = launch {
             serveOn(selector, settings, Random(1))
         }
+        // Told for the first time a minute after a start, when nobody should wait for its classes.
+        Figures { 0 }.apply {
+            count("rehearsal")
+            took("rehearsal", 1)
+            countsText()
+            timesText()
+        }
         val client = HttpClient(selector, HostPort("127.0.0.1", own))
         repeat(30) { round ->
             delay(50)
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -47,6 +47,11 @@
     /** A machine reports here and is sent to the owner of its part. */
     fun sentOn(zone: String, machine: String) = strays.sent(zone, machine, nowMs(), machine in machines(zone))
 
+    /** Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease runs. */
+    fun doubtsOwner(zone: String): Boolean = longOwned(zone, nowMs()) && strays.left(zone, nowMs()) > 1
+
+    private fun longOwned(zone: String, now: Long) = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
+
     /** When a part was claimed from this node although it acts for it: its workers do not reach it. */
     private var overriddenMs = Long.MIN_VALUE / 2
 
@@ -236,8 +241,7 @@
      * some are on their way still, and late copies of reports come to where the owner was.
      */
     private fun abandoned(zone: String, now: Long): Boolean {
-        val longOwned = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
-        val left = longOwned && strays.left(zone, now) >= STRAYS
+        val left = longOwned(zone, now) && strays.left(zone, now) >= STRAYS
         if (!left && strays.count(zone, now) < minOf(STRAYS, maxOf(1, machines(zone).size / 2))) {
             straySince.remove(zone)
             return false
@@ -250,8 +254,8 @@
         const val STRAYS = 3
         const val LONG_OWNED_MS = 20_000L
         const val OVERRIDDEN_MS = 45_000L
-        const val STRAY_JITTER_MS = 300L
-        const val STRAY_OWNED_MS = 500L
+        const val STRAY_JITTER_MS = 200L
+        const val STRAY_OWNED_MS = 300L
         const val YIELD_MS = 4_000L
         const val RENEWALS = 7
         const val CLAIM_EVERY_MS = 250L
