--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -80,10 +80,13 @@
         val budget = RateBudget(50.0, 5.0, { testScheduler.currentTime })
         repeat(4) { launch { budget.takeSpare(4) } }
         repeat(4) { launch { budget.takeSpare(1, lesser = true) } }
+        // Submissions in a burst go into debt for a while.
+        repeat(3) { launch { assertTrue(budget.tryTake(3, 5_000)) } }
         testScheduler.runCurrent()
         val before = currentTime
         budget.take()
         assertEquals(before, currentTime)
+        delay(2_500)
         for (round in 1..6) {
             assertTrue(budget.tryTake(1, 600), "submission $round")
             delay(400)
