Reread: one dense list, one order of reports, one reader of machine segments

Behaviour unchanged. Part kept the same swap-and-renumber list twice, for machines and for jobs: now Dense. Which of two reports is newer stood in Part and in LastSeen (there under a name that said the opposite): now Report.newerThan. Machine segments were decoded in Controller and in Keeper: now Replica.machineSegments. Two copies of links and two made-up zero times are gone.

--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -33,7 +33,6 @@
 import io.otterknot.state.Figures
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
-import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Relays
@@ -63,7 +62,7 @@
 /** One controller: everything it keeps, and the coroutines that keep it going, all on one thread. */
 class Controller(
     private val settings: Settings,
-    links: Links,
+    private val links: Links,
     private val random: Random,
     private val nowMs: () -> Long,
     private val wallMs: () -> Long,
@@ -78,8 +77,6 @@
     private val relays = Relays(links.peers.values.map(::PeerRelay), random, nowMs)
     private val stateLink = StateLink(links.state, contact, relays)
     private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget, figures)
-    private val directState = links.state
-    private val peers = links.peers
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
     private val replica = Replica(state, random, nowMs, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
@@ -195,13 +192,13 @@
         while (true) {
             delay(SEEK_MS + random.nextLong(SEEK_MS))
             val (zone, owner) = ownership.wanted() ?: continue
-            peers[owner]?.ask(PeerMessage.Yield(zone, ownership.owned), PEER_ANSWER_MS)
+            links.peers[owner]?.ask(PeerMessage.Yield(zone, ownership.owned), PEER_ANSWER_MS)
         }
     }
 
     /** Asks the state service for another controller, which has taken the request out of its own share. */
     private suspend fun carry(message: PeerMessage.Carry): PeerMessage {
-        val reply = if (contact.sound) directState.call(message.method, message.target, message.body, message.timeoutMs.toLong()) else null
+        val reply = if (contact.sound) links.state.call(message.method, message.target, message.body, message.timeoutMs.toLong()) else null
         return if (reply is Reply.Answer) PeerMessage.Carried(reply.status, reply.body) else PeerMessage.Carried(0, ByteArray(0))
     }
 
@@ -296,7 +293,7 @@
     /** The machines that may hold tasks of a part, with their types. */
     private fun registered(zone: String): Map<String, String> = registered.getOrPut(zone) {
         val types = HashMap<String, String>()
-        for ((_, entry) in replica.under(Keys.machines(zone))) types.putAll(decodeRecord(MachinesRecord.serializer(), entry.value).types)
+        replica.machineSegments(zone).values.forEach(types::putAll)
         types
     }
 
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -69,12 +69,8 @@
     private fun machines(part: Part): List<Wish> {
         val fresh = part.unregistered()
         if (fresh.isEmpty() && part.retired.isEmpty()) return emptyList()
-        val kept = sortedMapOf<Int, Map<String, String>>()
-        for ((key, entry) in replica.under(Keys.machines(part.zone))) {
-            kept[key.substringAfterLast('/').toInt()] = decodeRecord(MachinesRecord.serializer(), entry.value).types
-        }
         val room = maxBytes / MACHINE_BYTES
-        val changed = Segments.spread(kept, part.retired, fresh.associate { it.id to it.type.name }, room)
+        val changed = Segments.spread(replica.machineSegments(part.zone), part.retired, fresh.associate { it.id to it.type.name }, room)
         return changed.map { (segment, types) ->
             val value = if (types.isEmpty()) null else encodeRecord(MachinesRecord.serializer(), MachinesRecord(types))
             Wish(Keys.machines(part.zone, segment), value)
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -65,8 +65,8 @@
      */
     fun othersUntilMs(zone: String, overriding: Boolean): Long {
         val now = nowMs()
-        val seen = overrideSeenMs[zone]
-        return maxOf(now, if (overriding) now + ttlMs else 0, if (seen == null) 0 else seen + ttlMs)
+        val claimedFromOwner = if (overriding) now else overrideSeenMs[zone] ?: return now
+        return maxOf(now, claimedFromOwner + ttlMs)
     }
 
     private val overrideSeenMs = HashMap<String, Long>()
--- a/src/main/kotlin/io/otterknot/placement/LastSeen.kt
+++ b/src/main/kotlin/io/otterknot/placement/LastSeen.kt
@@ -18,8 +18,5 @@
     fun gone(id: String) = note(id, Long.MAX_VALUE, Long.MAX_VALUE)
 
     /** Whether [report] is newer than all that is known of its machine. */
-    fun olderThan(report: Report): Boolean {
-        val seen = machines[report.machine] ?: return true
-        return report.session > seen.session || (report.session == seen.session && report.seq > seen.seq)
-    }
+    fun isNews(report: Report): Boolean = machines[report.machine]?.let { report.newerThan(it.session, it.seq) } ?: true
 }
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -61,8 +61,6 @@
 
 /** A machine in this part and the ledger of what is booked on it: reported, or sent and not yet reported. */
 class Machine(val id: String, val type: MachineType, val spot: Boolean) : Place() {
-    /** Where it stands in the part's dense list. */
-    var slot = -1
     var session = 0L
     var seq = -1L
 
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -62,11 +62,14 @@
     registeredMachines: Map<String, String>,
 ) {
     private val log = LoggerFactory.getLogger(Part::class.java)
-    private val machineSlots = slots()
-    private val machineList = ArrayList<Machine>()
-    private val jobSlots = slots()
-    private val jobList = ArrayList<PartJob>()
-    private val teamSlots = slots().apply { teams.forEachIndexed { index, team -> put(team.name, index) } }
+    private val machineByName = Dense<Machine> { it.id }
+    private val machineList get() = machineByName.all
+    private val jobByName = Dense<PartJob> { it.id }
+    private val jobList get() = jobByName.all
+    private val teamSlots = Object2IntOpenHashMap<String>().apply {
+        defaultReturnValue(-1)
+        teams.forEachIndexed { index, team -> put(team.name, index) }
+    }
     private val teamCores = DoubleArray(teams.size)
     private val teamCards = DoubleArray(teams.size)
     private var attempts = 0L
@@ -105,11 +108,9 @@
     val machines: List<Machine> get() = machineList
     val jobs: List<PartJob> get() = jobList
 
-    fun machine(id: String): Machine? = machineSlots.getInt(id).let { if (it < 0) null else machineList[it] }
-
-    fun job(id: String): PartJob? = jobSlots.getInt(id).let { if (it < 0) null else jobList[it] }
+    fun machine(id: String): Machine? = machineByName[id]
 
-    private fun slots() = Object2IntOpenHashMap<String>().apply { defaultReturnValue(-1) }
+    fun job(id: String): PartJob? = jobByName[id]
 
     // ---- jobs -------------------------------------------------------------------------------------------------
 
@@ -125,9 +126,7 @@
         if (held == null) {
             if (record.spans.none { it.zone == zone }) return
             held = PartJob(job, spec, teamSlots.getInt(spec.team), record.submittedMs)
-            held.slot = jobList.size
-            jobSlots.put(job.id, held.slot)
-            jobList.add(held)
+            jobByName.add(held)
         }
         val mine = BitSet()
         record.spans.forEach { if (it.zone == zone) mine.set(it.from, it.until) }
@@ -178,13 +177,7 @@
         held.over = true
         held.pending.clear()
         held.doubtful.clear()
-        jobSlots.removeInt(held.id)
-        val last = jobList.removeAt(jobList.size - 1)
-        if (last !== held) {
-            last.slot = held.slot
-            jobList[last.slot] = last
-            jobSlots.put(last.id, last.slot)
-        }
+        jobByName.remove(held.id)
         scheduler.order.invalidate()
         for (attempt in held.active.values.toList()) {
             // What was only booked has never been sent, so it is free at once; the rest is told to stop.
@@ -229,13 +222,7 @@
         val machine = machine(id) ?: return
         forgetAll(machine)
         lastSeen.note(id, machine.session, machine.seq)
-        machineSlots.removeInt(id)
-        val last = machineList.removeAt(machineList.size - 1)
-        if (last !== machine) {
-            last.slot = machine.slot
-            machineList[last.slot] = last
-            machineSlots.put(last.id, last.slot)
-        }
+        machineByName.remove(id)
     }
 
     /**
@@ -307,11 +294,10 @@
         val known = machine(report.machine)
         // Packets may be held back and delivered late, and copies of them: only a newer report says anything, also of a
         // machine that has been let go.
-        if (if (known != null) !newer(report, known.session, known.seq) else !lastSeen.olderThan(report)) return ReportDecision.Stale
+        val news = if (known != null) report.newerThan(known.session, known.seq) else lastSeen.isNews(report)
+        if (!news) return ReportDecision.Stale
         val machine = known ?: Machine(report.machine, type, report.spot).also {
-            it.slot = machineList.size
-            machineSlots.put(it.id, it.slot)
-            machineList.add(it)
+            machineByName.add(it)
             it.registered = it.id in registered
             it.firstSeenMs = now
             it.leaseFromMs = now
@@ -347,9 +333,6 @@
         return ReportDecision.Answer(token, commands)
     }
 
-    private fun newer(report: Report, session: Long, seq: Long) =
-        report.session > session || (report.session == session && report.seq > seq)
-
     /**
      * A report that does not show this token yet: an earlier owner's answer could still reach the machine. An answer
      * of ours may prolong the lease of what it holds from that owner, so the doubt is counted from this report; but no
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -9,8 +9,6 @@
 class PartJob(val job: Job, val spec: JobSpec, val team: Int, val submittedMs: Long) {
     val id: String get() = job.id
 
-    /** Where it stands in the part's dense list. */
-    var slot = -1
     val mine = BitSet()
 
     /** May be started now. */
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -41,6 +41,11 @@
     fun under(prefix: String): List<Pair<String, Entry>> =
         entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { it.key to it.value }
 
+    /** The machines that may hold tasks of a zone, with their types, by segment. */
+    fun machineSegments(zone: String): Map<Int, Map<String, String>> = under(Keys.machines(zone)).associate { (key, entry) ->
+        key.substringAfterLast('/').toInt() to decodeRecord(MachinesRecord.serializer(), entry.value).types
+    }
+
     /** Keeps the copy up to date until cancelled. */
     suspend fun follow() {
         while (true) {
--- a/src/main/kotlin/io/otterknot/wire/Workers.kt
+++ b/src/main/kotlin/io/otterknot/wire/Workers.kt
@@ -17,7 +17,11 @@
     @SerialName("Warrant") val token: Long = 0,
     @SerialName("WarningS") val noticeS: Double? = null,
     @SerialName("Chores") val tasks: List<TaskReport> = emptyList(),
-)
+) {
+    /** The message with the larger session and number is the newer one. */
+    fun newerThan(otherSession: Long, otherSeq: Long): Boolean =
+        session > otherSession || (session == otherSession && seq > otherSeq)
+}
 
 @Serializable
 data class TaskReport(
