--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -12,6 +12,7 @@
 import io.otterknot.wire.MAX_BODY_BYTES
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.IO_PARALLELISM_PROPERTY_NAME
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -29,6 +30,8 @@
 const val VERSION = "0.1.0"
 
 fun main(args: Array<String>) {
+    // Before the first coroutine, since it is read once only; see onLoop.
+    System.setProperty(IO_PARALLELISM_PROPERTY_NAME, "1")
     val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
@@ -123,14 +126,19 @@
     SOFTWARE
 }
 
-/** All decisions are taken on one thread; the selector blocks on its own. */
+/**
+ * All decisions are taken one at a time. Ktor reads and writes sockets on [Dispatchers.IO], whatever it is told; limited to
+ * one coroutine at a time it serves as the loop too, so that a request passes from socket to decision and back without
+ * waking another thread: those wakings were most of what a report cost. The selector blocks on a thread of its own.
+ */
 internal fun <T> onLoop(work: suspend CoroutineScope.(SelectorManager) -> T): T {
-    val loop = Executors.newSingleThreadExecutor { Thread(it, "otterknot") }.asCoroutineDispatcher()
-    val selector = SelectorManager(Dispatchers.IO)
+    check(System.getProperty(IO_PARALLELISM_PROPERTY_NAME) == "1") { "the loop is not limited to one coroutine at a time" }
+    val selecting = Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher()
+    val selector = SelectorManager(selecting)
     try {
-        return runBlocking(loop) { work(selector) }
+        return runBlocking(Dispatchers.IO) { work(selector) }
     } finally {
         selector.close()
-        loop.close()
+        selecting.close()
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -75,7 +75,7 @@
     private var attempts = 0L
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
-    private val suspects = HashMap(registeredMachines)
+    private val suspects = Suspects(registeredMachines, typeOf)
     private val registered = HashSet(registeredMachines.keys)
 
     /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
@@ -203,7 +203,7 @@
     fun unregistered(): List<Machine> = machineList.filter { it.reconciled && !it.registered && !it.silent }
 
     /** The types of machines that an earlier owner had registered and that have not been heard of yet. */
-    fun unheard(): List<String> = if (settled) emptyList() else suspects.filterKeys { machine(it) == null }.values.toList()
+    fun unheard(): List<String> = if (settled) emptyList() else suspects.filter { machine(it) == null }.values.toList()
 
     /** The cloud says that the machine and everything on it is gone. */
     fun released(id: String) {
@@ -235,7 +235,7 @@
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
         val lively = talking.count { now - it.heardMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
-        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.keys.filter { machine(it) == null }
+        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.filter { machine(it) == null }.keys
         return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + unheard
     }
 
@@ -272,8 +272,8 @@
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
         // then falls silent, its lease ends that much later than those of machines never heard of.
-        suspects.keys.removeIf { id -> now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) > times.surelyOverMs }
-        if (suspects.isNotEmpty()) return
+        suspects.removeIf { id -> now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) > times.surelyOverMs }
+        if (!suspects.empty) return
         settled = true
         var count = 0
         for (job in jobList) {
@@ -326,7 +326,7 @@
         val commands = ArrayList<Command>()
         for (entry in report.tasks) reconcile(machine, entry, report.seq, now, commands)
         compareSent(machine)
-        if (suspects.remove(machine.id) != null) settle(now)
+        if (suspects.remove(machine.id)) settle(now)
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.usable)
         if (machine.deaf) probe(machine, now) else scheduler.placeOn(machine, now)
         addCommands(machine, now, commands)
@@ -342,7 +342,7 @@
     private fun unknowing(machine: Machine, again: Boolean, now: Long) {
         machine.reconciled = false
         if (again) machine.lostAnswers++
-        if (now - othersUntilMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id) != null) settle(now)
+        if (now - othersUntilMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id)) settle(now)
     }
 
     /** What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always will. */
@@ -572,15 +572,9 @@
      * over: until it is, all of that machine counts as used.
      */
     private fun leftover(team: Int): Amount {
-        var cores = teams[team].allotment.cores - teamCores[team]
-        var cards = teams[team].allotment.cards - teamCards[team]
-        if (!settled) {
-            for (type in suspects.values) {
-                cores -= typeOf(type)?.cores ?: return Amount()
-                cards -= typeOf(type)?.cards ?: 0.0
-            }
-        }
-        return Amount(cores, cards)
+        val left = teams[team].allotment - Amount(teamCores[team], teamCards[team])
+        if (settled) return left
+        return left - (suspects.amount() ?: return Amount())
     }
 
     private fun Amount.covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.cards <= cards + Machine.EPS
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -70,7 +70,7 @@
     fun placeOn(machine: Machine, now: Long) {
         if (dirty || now - passMs >= PASS_MS) return placeAll(now)
         order.refresh(ledger.jobs, now)
-        if (!machine.usable || order.empty || machine.usedCores + order.leastCores > machine.type.cores + Machine.EPS) return
+        if (!machine.usable || order.empty || !open(machine)) return
         place(now, machine)
     }
 
@@ -99,14 +99,19 @@
         place(now, null)
     }
 
+    /** It has room for the least that waits. */
+    private fun open(machine: Machine) = machine.usedCores + order.leastCores <= machine.type.cores + Machine.EPS
+
     private fun place(now: Long, only: Machine?) {
         val usable = if (only != null) listOf(only) else ledger.machines.filter { it.usable }
+        // When more is asked than can be done most machines are full, and each waiting job would look at all of them.
+        val open = usable.filter(::open)
         // Without this, the work of one pass would decide on the candidates of another.
         if (only == null) ledger.jobs.forEach { it.candidates = null }
         for (job in order.overdue) {
             if (!job.unbegun || !mayStart(job, now)) continue
             // Room that is held for more urgent work does not count here, or the job would wait behind it for ever.
-            val fitting = usable.filter { it.allowed(job.spec) && it.roomFor(job.spec) && !it.avoids(job.id, now) }
+            val fitting = open.filter { it.allowed(job.spec) && it.roomFor(job.spec) && !it.avoids(job.id, now) }
             val machine = JobCandidates(fitting, job.spec, ordinaryWork) { true }.choose(random, job.spec) ?: continue
             ledger.book(job, machine, now).kept = true
         }
@@ -118,7 +123,7 @@
             while (true) {
                 val queue = nextInTurn(queues) ?: break
                 val job = if (only == null) queue.jobs[queue.next] else queue.pick { it.spec.image in only.images && mayStart(it, now) && fits(it, only, now) }
-                if (!mayStart(job, now) || placeOne(job, usable, only, now) == null) queue.next++
+                if (!mayStart(job, now) || placeOne(job, open, only, now) == null) queue.next++
             }
             if (makingRoom && priority < Priority.BEST_EFFORT) {
                 val waiting = queues.flatMap { queue -> queue.jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now } }
@@ -146,11 +151,11 @@
     private fun fits(job: PartJob, machine: Machine, now: Long) =
         machine.allowed(job.spec) && machine.spareFor(job.spec) && !machine.avoids(job.id, now)
 
-    private fun placeOne(job: PartJob, usable: List<Machine>, only: Machine?, now: Long): Attempt? {
+    private fun placeOne(job: PartJob, open: List<Machine>, only: Machine?, now: Long): Attempt? {
         val machine = if (only != null) {
             only.takeIf { fits(job, it, now) }?.also { it.take(it.share(job.spec)) }
         } else {
-            val candidates = job.candidates ?: JobCandidates(usable, job.spec, ordinaryWork) { fits(job, it, now) }.also { job.candidates = it }
+            val candidates = job.candidates ?: JobCandidates(open, job.spec, ordinaryWork) { fits(job, it, now) }.also { job.candidates = it }
             candidates.choose(random, job.spec)
         } ?: return null
         machine.held(job.spec.priority).takeUpTo(job.spec)
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/Suspects.kt
@@ -0,0 +1,41 @@
+package io.otterknot.placement
+
+import io.otterknot.state.Amount
+import io.otterknot.wire.MachineType
+
+/** Machines that an earlier owner had registered and that have not shown this owner's token yet, with their types. */
+class Suspects(machines: Map<String, String>, private val typeOf: (String) -> MachineType?) {
+    private val types = HashMap(machines)
+
+    /**
+     * What all of them have, added up once for each change: each waiting job asks for it in each pass, and after all
+     * controllers have ended there are as many suspects as machines. Null while some type is not known.
+     */
+    private var added: Amount? = null
+
+    val size: Int get() = types.size
+    val empty: Boolean get() = types.isEmpty()
+
+    operator fun contains(id: String): Boolean = id in types
+
+    fun remove(id: String): Boolean = (types.remove(id) != null).also { if (it) added = null }
+
+    fun removeIf(surelyOver: (id: String) -> Boolean) {
+        if (types.keys.removeIf(surelyOver)) added = null
+    }
+
+    /** The names of those that [wanted] picks, with their types. */
+    fun filter(wanted: (id: String) -> Boolean): Map<String, String> = types.filterKeys(wanted)
+
+    /** What they may hold together; null: not known, so nothing can be said to be left. */
+    fun amount(): Amount? = added ?: addUp().also { added = it }
+
+    private fun addUp(): Amount? {
+        var sum = Amount()
+        for (name in types.values) {
+            val type = typeOf(name) ?: return null
+            sum += Amount(type.cores, type.cards)
+        }
+        return sum
+    }
+}
