Tasks leave noticed machines at once; how many strays tell of a silent owner grows with the part

Machines that show an older token do not count now, and the number follows the size of the part. Excluded: strays that came back (none did). Tests: strays by size, a cut zone that comes back, hundreds of machines, the cost of a report during a take-over.

--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -44,11 +44,15 @@
     private val ownedSinceMs = HashMap<String, Long>()
     private val strays = Strays()
 
-    /** A machine reports here and is sent to the owner of its part. */
-    fun sentOn(zone: String, machine: String) = strays.sent(zone, machine, nowMs(), machine in machines(zone))
+    /**
+     * A machine reports here and is sent to the owner of its part. It has left that owner if it was with it, and then it
+     * shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only looks for it.
+     */
+    fun sentOn(zone: String, machine: String, token: Long) =
+        strays.sent(zone, machine, nowMs(), machine in machines(zone) && token == replica[Keys.part(zone)]?.version)
 
     /** Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease runs. */
-    fun doubtsOwner(zone: String): Boolean = longOwned(zone, nowMs()) && strays.left(zone, nowMs()) > 1
+    fun doubtsOwner(zone: String): Boolean = longOwned(zone, nowMs()) && strays.left(zone, nowMs()) > manyLeft(zone) / 2
 
     private fun longOwned(zone: String, now: Long) = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
 
@@ -245,8 +249,8 @@
      * some are on their way still, and late copies of reports come to where the owner was.
      */
     private fun abandoned(zone: String, now: Long): Boolean {
-        val left = longOwned(zone, now) && strays.left(zone, now) >= STRAYS
-        if (!left && strays.count(zone, now) < minOf(STRAYS, maxOf(1, machines(zone).size / 2))) {
+        val left = longOwned(zone, now) && strays.left(zone, now) >= manyLeft(zone)
+        if (!left && strays.count(zone, now) < minOf(FEW_STRAYS, maxOf(1, machines(zone).size / 2))) {
             straySince.remove(zone)
             return false
         }
@@ -254,8 +258,10 @@
         return now - since >= tokens.size * STRAY_OWNED_MS
     }
 
+    /** That so many have left their owner is not the machines' doing. */
+    private fun manyLeft(zone: String) = manyStrays(machines(zone).size, domains.size)
+
     private companion object {
-        const val STRAYS = 3
         const val LONG_OWNED_MS = 20_000L
         const val OVERRIDDEN_MS = 45_000L
         const val STRAY_JITTER_MS = 200L
@@ -270,3 +276,13 @@
         const val REACH_MS = 2_000L
     }
 }
+
+/**
+ * How many machines must have left their owner, as one other node sees it, before their number alone speaks against the
+ * owner. When it has crashed all of them leave, a like part to each other node; but machines that hang and go on leave
+ * it too, and of a large part many may do so at a time: a fixed number would have its parts claimed from a sound owner.
+ */
+fun manyStrays(machines: Int, nodes: Int): Int = maxOf(FEW_STRAYS, Math.ceil(machines * STRAY_SHARE / maxOf(1, nodes - 1)).toInt())
+
+private const val FEW_STRAYS = 3
+private const val STRAY_SHARE = 0.3
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -28,6 +28,9 @@
     val name: String get() = "${job.id}/$task"
     val holds: Boolean get() = phase != Phase.EXITED
 
+    /** How long it will run yet, by the job's tasks that have completed here, or else by its owner's estimate. */
+    fun expectedMs(now: Long): Double = job.expectedRunMs - (if (phase == Phase.RUNNING) now - since else 0)
+
     fun halt() {
         if (halting || !holds) return
         halting = true
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -326,6 +326,7 @@
         val commands = ArrayList<Command>()
         for (entry in report.tasks) reconcile(machine, entry, report.seq, now, commands)
         compareSent(machine)
+        report.noticeS?.let { leave(machine, it, now) }
         if (suspects.remove(machine.id)) settle(now)
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.usable)
         if (machine.deaf) probe(machine, now) else scheduler.placeOn(machine, now)
@@ -359,6 +360,20 @@
         if (lost) machine.lostAnswers++
     }
 
+    /**
+     * The cloud takes the machine in [noticeS]. What cannot end before that begins elsewhere at once: waiting for its loss
+     * would cost it the time of the notice besides, and a deadline leaves little more than that.
+     */
+    private fun leave(machine: Machine, noticeS: Double, now: Long) {
+        for (attempt in machine.attempts.values.toList()) {
+            if (attempt.phase == Phase.BOOKED) {
+                ledger.stop(attempt)
+            } else if (attempt.phase != Phase.SAVING && attempt.expectedMs(now) > noticeS * 1000) {
+                attempt.halt()
+            }
+        }
+    }
+
     private fun probe(machine: Machine, now: Long) {
         val idle = machine.attempts.isEmpty() && machine.reconciled && machine.registered && machine.serving
         if (!idle || now - machine.probedMs < PROBE_MS) return
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -34,6 +34,8 @@
     /** How long its tasks ran that completed in this part. */
     val runs = RunTimes()
 
+    val expectedRunMs: Double get() = runs.meanMs ?: (spec.estimateS * 1000)
+
     /** Tasks that were stopped once because they took far longer than the others. */
     val restarted = BitSet()
 
--- a/src/main/kotlin/io/otterknot/placement/RunTimes.kt
+++ b/src/main/kotlin/io/otterknot/placement/RunTimes.kt
@@ -10,8 +10,11 @@
         sumMs += ms
     }
 
+    /** Null while too few have completed to say. */
+    val meanMs: Double? get() = if (count < ENOUGH || sumMs <= 0) null else sumMs / count
+
     /** How many times as long as the others [ms] is; null while too few have completed to say. */
-    fun ratio(ms: Long): Double? = if (count < ENOUGH || sumMs <= 0) null else ms * count / sumMs
+    fun ratio(ms: Long): Double? = meanMs?.let { ms / it }
 
     private companion object {
         const val ENOUGH = 4
--- a/src/main/kotlin/io/otterknot/placement/Suspects.kt
+++ b/src/main/kotlin/io/otterknot/placement/Suspects.kt
@@ -8,8 +8,8 @@
     private val types = HashMap(machines)
 
     /**
-     * What all of them have, added up once for each change: each waiting job asks for it in each pass, and after all
-     * controllers have ended there are as many suspects as machines. Null while some type is not known.
+     * What all of them have, added up once: each waiting job asks for it in each pass, and after all controllers have
+     * ended there are as many suspects as machines. Null while some type is not known.
      */
     private var added: Amount? = null
 
@@ -18,7 +18,11 @@
 
     operator fun contains(id: String): Boolean = id in types
 
-    fun remove(id: String): Boolean = (types.remove(id) != null).also { if (it) added = null }
+    fun remove(id: String): Boolean {
+        val type = types.remove(id) ?: return false
+        added = added?.minus(amountOf(type) ?: Amount())
+        return true
+    }
 
     fun removeIf(surelyOver: (id: String) -> Boolean) {
         if (types.keys.removeIf(surelyOver)) added = null
@@ -30,12 +34,7 @@
     /** What they may hold together; null: not known, so nothing can be said to be left. */
     fun amount(): Amount? = added ?: addUp().also { added = it }
 
-    private fun addUp(): Amount? {
-        var sum = Amount()
-        for (name in types.values) {
-            val type = typeOf(name) ?: return null
-            sum += Amount(type.cores, type.cards)
-        }
-        return sum
-    }
+    private fun amountOf(type: String): Amount? = typeOf(type)?.let { Amount(it.cores, it.cards) }
+
+    private fun addUp(): Amount? = types.values.fold(Amount()) { sum, type -> sum + (amountOf(type) ?: return null) }
 }
--- a/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
+++ b/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
@@ -45,7 +45,7 @@
         val zone = report.zone
         val owner = ownership.ownerOf(zone)
         if (owner == null || owner == label) return HttpResponse.refusal(503, "nobody may act for $zone at the moment")
-        ownership.sentOn(zone, report.machine)
+        ownership.sentOn(zone, report.machine, report.token)
         if (ownership.doubtsOwner(zone)) return HttpResponse.refusal(503, "$owner seems not to answer the workers of $zone")
         return HttpResponse.json(421, Redirect.serializer(), Redirect(owner))
     }
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -49,7 +49,11 @@
 private const val BEGIN_MS = 240_000L
 
 /** Three controllers, their workers, cloud and state service, on virtual time; it watches every rule as it goes. */
-class ClusterStandIn(val scope: CoroutineScope, seed: Long, private val nowMs: () -> Long, teamLimit: Double = 0.0) {
+class ClusterStandIn(
+    val scope: CoroutineScope, seed: Long, private val nowMs: () -> Long, teamLimit: Double = 0.0,
+    /** How many machines of each kind a zone has. */
+    private val capacity: Int = 4,
+) {
     val random = Random(seed)
     val zones = listOf("a", "b", "c")
     val state = StateStandIn(scope, random, nowMs)
@@ -74,6 +78,18 @@
     /** Nodes whose packets to and from workers are held back. */
     val cutNodes = HashSet<String>()
 
+    /** A zone cut off from everything outside it: its node is, and its machines reach no other. */
+    private var cutZone: String? = null
+
+    fun cut(zone: String?) {
+        (cutZone ?: zone)?.let { node -> "holt-$node" }?.let { if (zone == null) peerless.remove(it) else peerless.add(it) }
+        state.refusedFor = zone?.let { "holt-$it" }
+        cutZone = zone
+    }
+
+    /** Packets between a machine of [zone] and a node are held back. */
+    private fun held(zone: String, node: String): Boolean = node in cutNodes || (zone == cutZone) != (node == "holt-$cutZone")
+
     /** Nodes that other controllers do not reach, and that reach no other. */
     val peerless = HashSet<String>()
 
@@ -249,7 +265,7 @@
             else -> {
                 val request = WireJson.decodeFromString(RentRequest.serializer(), text)
                 val names = bids.getOrPut(request.request) {
-                    val room = 4 - workers.values.count { it.zone == request.zone && it.spot == request.spot }
+                    val room = capacity - workers.values.count { it.zone == request.zone && it.spot == request.spot }
                     List(minOf(room, request.count).coerceAtLeast(0)) { boot(request.zone, request.spot).id }
                 }
                 if (names.isEmpty()) {
@@ -264,6 +280,11 @@
 
     private fun ok(text: String): Reply = Reply.Answer(200, text.encodeToByteArray())
 
+    /** The cloud takes a machine back without a notice. */
+    fun take(worker: Worker) {
+        workers.remove(worker.id)?.end()
+    }
+
     fun boot(zone: String, spot: Boolean): Worker =
         Worker("m-%06d".format(++lastMachine), zone, spot).also { workers[it.id] = it }
 
@@ -370,10 +391,10 @@
                 ask(if (random.nextBoolean()) to else nodes.random(random), "POST", "/v1/report", body, 4_000)
             }
             val response = when {
-                to in cutNodes -> {
+                held(zone, to) -> {
                     // Packets are held back and come in once the cut is over; nobody waits for the answer then.
                     scope.launch {
-                        while (to in cutNodes) delay(100)
+                        while (held(zone, to)) delay(100)
                         ask(to, "POST", "/v1/report", body, 4_000)
                     }
                     delay(4_000)
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -18,7 +18,7 @@
 /** The whole service under one kind of trouble each, with every rule watched. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class ClusterTest {
-    class Case(val name: String, val teamLimit: Double = 0.0, val trouble: suspend ClusterStandIn.() -> Unit) {
+    class Case(val name: String, val teamLimit: Double = 0.0, val capacity: Int = 4, val trouble: suspend ClusterStandIn.() -> Unit) {
         override fun toString() = name
     }
 
@@ -27,7 +27,7 @@
     fun `no rule breaks and every job ends`(case: Case) = runTest(timeout = 3.minutes) {
         for (seed in 1L..(System.getProperty("otterknot.seeds")?.toLong() ?: 2L)) coroutineScope {
             val started = testScheduler.currentTime
-            val cluster = ClusterStandIn(this, seed, { testScheduler.currentTime }, case.teamLimit)
+            val cluster = ClusterStandIn(this, seed, { testScheduler.currentTime }, case.teamLimit, case.capacity)
             cluster.zones.forEach { zone -> repeat(2) { cluster.boot(zone, spot = it == 1) } }
             cluster.nodes.forEach(cluster::startNode)
             launch { cluster.balance() }
@@ -320,6 +320,37 @@
                     delay(random.nextLong(4_000))
                 }
             },
+            Case("a zone that was cut off comes back to the owner that it has got meanwhile") {
+                // Its machines come to any node and have been with none since: that says nothing against the new owner.
+                repeat(40) { boot("a", spot = false) }
+                delay(6_000)
+                cut("a")
+                delay(60_000)
+                val owner = owners()["a"]
+                cut(null)
+                delay(8_000)
+                if (owner == "holt-a" || owners()["a"] != owner) broken.add("the part of a went from $owner to ${owners()["a"]}")
+            },
+            Case("hundreds of machines: a wave of losses, then all controllers crash in a burst and again in the middle of their claims", capacity = 60) {
+                for (zone in zones) repeat(100) { boot(zone, spot = it % 2 == 0) }
+                for (id in 201..240) user(spec(id, 30, 6.0 + id % 5, if (id % 3 == 0) "bulk" else "urgent", if (id % 3 == 0) Priority.BEST_EFFORT else Priority.HIGH))
+                delay(8_000)
+                machines().filter { it.spot }.shuffled(random).take(60).forEach { take(it) }
+                delay(2_000)
+                machines().shuffled(random).take(25).forEach { it.hang(14_000) }
+                nodes.forEach(::crash)
+                delay(1_000)
+                nodes.forEach(::startNode)
+                for (node in nodes) {
+                    delay(600)
+                    crash(node)
+                    delay(200)
+                    startNode(node)
+                }
+                copies = 0.1
+                delay(20_000)
+                copies = 0.0
+            },
             Case("a controller is cut off from the workers") {
                 cutNodes.add("holt-b")
                 delay(30_000)
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -6,6 +6,7 @@
 import io.otterknot.ownership.Strays
 import io.otterknot.ownership.claimRank
 import io.otterknot.ownership.leaseTtlMs
+import io.otterknot.ownership.manyStrays
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.Entry
 import io.otterknot.state.Figures
@@ -137,6 +138,12 @@
         assertEquals(0, strays.left("a", 35_000))
     }
 
+    /** With a fixed number, machines that hang and go on together would have a large part claimed from a sound owner. */
+    @ParameterizedTest
+    @CsvSource("6,3,3", "16,3,3", "315,5,24", "250,3,38", "470,5,36")
+    fun `how many machines speak against an owner grows with its part`(machines: Int, nodes: Int, many: Int) =
+        assertEquals(many, manyStrays(machines, nodes))
+
     @Test
     fun `figures are counted and told`() {
         val figures = Figures { 0 }
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 
 /** One owner's decisions on the reports of its machines. */
@@ -27,8 +29,10 @@
     private val type = MachineType("big", 8.0, 0.0, 64.0)
     private val seqs = HashMap<String, Long>()
 
+    private var typesAsked = 0
+
     private fun part(registered: List<String> = emptyList(), limit: Double = 1e9, othersUntil: Long = 0) = Part(
-        "a", 7, 0, othersUntil, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type },
+        "a", 7, 0, othersUntil, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type.also { typesAsked++ } },
         listOf(TeamShare("red", 1.0, Amount(limit, 0.0)), TeamShare("blue", 1.0, Amount(1e9, 0.0))), registered.associateWith { "big" },
     )
 
@@ -36,8 +40,8 @@
         it.record = JobRecord(JobSpec(it.id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0), listOf(Span("a", 0, tasks)))
     }
 
-    private fun Part.hear(machine: String, token: Long, now: Long, vararg tasks: TaskReport, session: Long = 1, seq: Long? = null): ReportDecision =
-        report(Report(machine, "", "big", "a", false, session, seq ?: seqs.merge(machine, 1, Long::plus)!!, token, null, tasks.toList()), now)
+    private fun Part.hear(machine: String, token: Long, now: Long, vararg tasks: TaskReport, session: Long = 1, seq: Long? = null, noticeS: Double? = null): ReportDecision =
+        report(Report(machine, "", "big", "a", false, session, seq ?: seqs.merge(machine, 1, Long::plus)!!, token, noticeS, tasks.toList()), now)
 
     private fun ReportDecision.commands(): List<Command> = (this as ReportDecision.Answer).commands
 
@@ -211,6 +215,49 @@
         assertEquals(4, held.waiting)
     }
 
+    /** With all suspects added up for each waiting job in each pass, a restart of all would cost machines times jobs a report. */
+    @ParameterizedTest
+    @ValueSource(ints = [20, 400])
+    fun `what a report costs during a take-over does not grow with the machines or the jobs`(machines: Int) {
+        val ids = (1..machines).map { "m$it" }
+        val part = part(ids)
+        for (id in 1..40) part.updateJob(job(id, 3), inherited = true)
+        ids.forEach { part.hear(it, 3, 100) }
+        typesAsked = 0
+        ids.dropLast(1).forEach { part.hear(it, 7, 200) }
+        assertTrue(!part.settled)
+        assertTrue(typesAsked < 5 * machines, "$typesAsked looked up for $machines reports")
+    }
+
+    /** Waiting for the loss instead would make a task late by the whole notice. */
+    @Test
+    fun `what cannot end before the cloud takes its machine begins elsewhere at once`() {
+        // The estimate is 5 s, and the task has run for 2 s when the notice comes.
+        for ((noticeS, op) in listOf(4.0 to emptyList(), 2.0 to listOf("halt"))) {
+            val part = part()
+            part.ready("m1")
+            part.updateJob(job(1, 1), inherited = false)
+            val start = part.hear("m1", 7, 10).starts().single()
+            part.hear("m1", 7, 1_000, start.shown())
+            part.ready("m2")
+            assertEquals(op, part.hear("m1", 7, 3_000, start.shown(), noticeS = noticeS).commands().map { it.op })
+            val shown = if (op.isEmpty()) start.shown() else start.shown("exited", "stopped")
+            part.hear("m1", 7, 3_600, shown, noticeS = noticeS - 0.6)
+            assertEquals(op.size, part.hear("m2", 7, 3_700).starts().size)
+        }
+    }
+
+    @Test
+    fun `what is booked on a machine that the cloud takes is not sent there`() {
+        val part = part()
+        part.ready("m1")
+        part.updateJob(job(1, 1), inherited = false)
+        part.sweep(10)
+        assertTrue(part.hear("m1", 7, 20, noticeS = 30.0).commands().isEmpty())
+        part.ready("m2")
+        assertEquals(1, part.hear("m2", 7, 40).starts().size)
+    }
+
     /** Each of its reports was answered, so counting its lease from the last of them would leave the part in doubt for ever. */
     @Test
     fun `a machine that never shows the token holds up doubts no longer than two leases`() {
