--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -10,22 +10,26 @@
 }
 
 /**
- * The operators' aims by class of job. A job waits behind those that have missed fewer of theirs: when more is asked
- * than can be done, serving in order of arrival would make every job late.
+ * The operators' aims by class of job. When more is asked than can be done, serving in order of arrival would make every
+ * job late; what a job has missed, and what it is about to miss, say when it is served.
  */
 class Aims(private val byKind: Map<String, List<Aim>>) {
 
     /** How many of its aims a job of this age has missed, as it still waits. */
-    fun missed(spec: JobSpec, ageMs: Long): Int {
-        val ageS = ageMs / 1000.0
-        return byKind[spec.kind].orEmpty().count { aim ->
-            val end = when (aim) {
-                is Aim.Started -> aim.withinS
-                is Aim.Finished -> aim.withinS - spec.estimateS * LIKELY
-                is Aim.Deadline -> spec.dueS?.let { it * aim.times - spec.estimateS * LIKELY } ?: Double.MAX_VALUE
-            }
-            ageS > end
-        }
+    fun missed(spec: JobSpec, ageMs: Long): Int = byKind[spec.kind].orEmpty().count { ageMs / 1000.0 > latestStartS(spec, it) }
+
+    /** How long until a job of this age, as it still waits, misses its next aim; null: it has missed all that it had. */
+    fun slackS(spec: JobSpec, ageMs: Long): Double? {
+        val aims = byKind[spec.kind].orEmpty()
+        if (aims.isEmpty()) return Double.MAX_VALUE
+        return aims.map { latestStartS(spec, it) - ageMs / 1000.0 }.filter { it >= 0 }.minOrNull()
+    }
+
+    /** At what age waiting tasks of a job must begin for the aim to be met. */
+    private fun latestStartS(spec: JobSpec, aim: Aim): Double = when (aim) {
+        is Aim.Started -> aim.withinS
+        is Aim.Finished -> aim.withinS - spec.estimateS * LIKELY
+        is Aim.Deadline -> spec.dueS?.let { it * aim.times - spec.estimateS * LIKELY } ?: Double.MAX_VALUE
     }
 
     /**
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -41,6 +41,7 @@
 
     /** What [WaitOrder] compares, as of its last look. */
     var missedAims = 0
+    var rank = 0
     var workLeft = 0.0
 
     /** Where its tasks may go in the pass under way; null: not looked for yet. */
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -3,8 +3,8 @@
 import io.otterknot.wire.Priority
 
 /**
- * The order in which waiting jobs are served: priority, then teams in turn by shares, then fewest missed aims, then
- * least work left. Sorting at every report would cost more than the placement itself, so the order is kept for
+ * The order in which waiting jobs are served: priority, then teams in turn by shares, then by [rank], then least work
+ * left. Sorting at every report would cost more than the placement itself, so the order is kept for
  * [KEEP_MS] unless a job comes to wait.
  */
 class WaitOrder(private val aims: Aims, private val wallOf: (Long) -> Long) {
@@ -22,7 +22,7 @@
             if (suits(head)) return head
             for (at in next + 1 until minOf(jobs.size, next + LOOK)) {
                 val job = jobs[at]
-                if (job.missedAims != head.missedAims) break
+                if (job.rank != head.rank) break
                 if (suits(job)) return job
             }
             return head
@@ -73,6 +73,7 @@
         for (job in jobs) {
             if (job.pending.isEmpty) continue
             job.missedAims = aims.missed(job.spec, wall - job.submittedMs)
+            job.rank = rank(job.missedAims, aims.slackS(job.spec, wall - job.submittedMs))
             job.workLeft = job.remainingWork
             waiting.add(job)
         }
@@ -80,12 +81,24 @@
         return waiting
     }
 
+    /**
+     * First what is about to miss an aim, whichever that is; then the others by how many they have missed; last what has
+     * none left. By missed aims alone a job late once would wait behind all that are new until it is late for good, while
+     * most of those could wait.
+     */
+    private fun rank(missedAims: Int, slackS: Double?): Int = when {
+        slackS == null -> Int.MAX_VALUE
+        slackS < SOON_S -> 0
+        else -> 1 + missedAims
+    }
+
     companion object {
         private const val KEEP_MS = 500L
         private const val LOOK = 10
+        private const val SOON_S = 30.0
         private const val BEGIN_MS = 90_000L
         private val ORDER = compareBy<PartJob> { it.spec.priority }
-            .thenBy { it.missedAims }
+            .thenBy { it.rank }
             .thenBy { it.workLeft }
             .thenBy { it.submittedMs }
             .thenBy { it.id }
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -351,6 +351,26 @@
                 delay(20_000)
                 copies = 0.0
             },
+            Case("hundreds of machines: an owner stands still, then all workers come to the one controller left", capacity = 60) {
+                for (zone in zones) repeat(100) { boot(zone, spot = it % 2 == 0) }
+                for (id in 201..240) user(spec(id, 30, 40.0 + id % 5))
+                delay(16_000)
+                // Nothing that it sends or is sent arrives meanwhile, whatever its clock says.
+                cutNodes.add("holt-a")
+                peerless.add("holt-a")
+                state.refusedFor = "holt-a"
+                delay(21_000)
+                cutNodes.clear()
+                peerless.clear()
+                state.refusedFor = null
+                delay(3_000)
+                crash("holt-a")
+                crash("holt-b")
+                delay(14_000)
+                if (owners().values.toSet() != setOf("holt-c")) broken.add("crashed controllers still own parts: ${owners()}")
+                startNode("holt-a")
+                startNode("holt-b")
+            },
             Case("a controller is cut off from the workers") {
                 cutNodes.add("holt-b")
                 delay(30_000)
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -7,8 +7,11 @@
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Candidates
 import io.otterknot.placement.PartChooser
+import io.otterknot.placement.PartJob
 import io.otterknot.placement.PartView
 import io.otterknot.placement.Place
+import io.otterknot.placement.WaitOrder
+import io.otterknot.state.Job
 import io.otterknot.state.Span
 import io.otterknot.state.Spans
 import io.otterknot.wire.JobSpec
@@ -124,6 +127,20 @@
         assertEquals(0.0, aims.readyShare(spec(1), 5.0))
     }
 
+    /** By missed aims alone, what was late once would wait behind all that is new until it is late for good. */
+    @Test
+    fun `what is about to miss an aim goes first, what has none left last, and the least work before more`() {
+        val aims = Aims(mapOf("k" to listOf(Aim.Deadline(1.0), Aim.Started(180.0, 0.9))))
+        fun job(name: String, tasks: Int, ageS: Long, kind: String = "k") =
+            PartJob(Job(name), spec(tasks).copy(id = name, kind = kind, dueS = 70.0, estimateS = 20.0), 0, (1_000 - ageS) * 1_000).also { it.pending.set(0, tasks) }
+        val jobs = listOf(
+            job("late for good", 1, 200), job("late once", 2, 100), job("late once, soon twice", 50, 160), job("new", 9, 1),
+            job("soon late", 30, 40), job("new and large", 90, 2), job("of a class without aims", 7, 300, "other"),
+        )
+        val order = WaitOrder(aims) { it }.sorted(jobs, 1_000_000).map { it.id }
+        assertEquals(listOf("soon late", "late once, soon twice", "of a class without aims", "new", "new and large", "late once", "late for good"), order)
+    }
+
     @Test
     fun `the fleet covers what was asked for most of the time`() {
         val window = DemandWindow(spanMs = 20_000, stepMs = 1_000)
