--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -182,8 +182,7 @@
 
     suspend fun peer(message: PeerMessage): PeerMessage {
         if (message is PeerMessage.Carry) return carry(message)
-        // A part that is not settled yet would only be in doubt for longer.
-        if (message is PeerMessage.Yield && parts[message.zone]?.settled == true) ownership.yieldTo(message.zone, message.owned)
+        if (message is PeerMessage.Yield && parts[message.zone]?.mayYield(nowMs()) == true) ownership.yieldTo(message.zone, message.owned)
         return idleParts.take(message, nowMs())
     }
 
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -187,6 +187,12 @@
 
     // ---- machines ---------------------------------------------------------------------------------------------
 
+    /**
+     * Whether another owner would soon be sure of what it gets. While an earlier one may still act, it would have to wait
+     * for that one's end before time settles what a single dead machine leaves in doubt.
+     */
+    fun mayYield(now: Long): Boolean = settled && now > othersUntilMs
+
     /** The machines that are registered now. */
     fun registeredNow(ids: Set<String>) {
         registered.clear()
@@ -235,8 +241,18 @@
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
         val lively = talking.count { now - it.heardMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
-        val unheard = if (settled || now - claimedMs < afterMs || suspects.size * 3 > talking.size) emptyList() else suspects.filter { machine(it) == null }.keys
-        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + unheard
+        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + neverHeard(now, afterMs, talking.size)
+    }
+
+    /**
+     * Machines that have not reported since the claim while most have. In a large part one or two are dead at any time, and
+     * they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
+     */
+    private fun neverHeard(now: Long, afterMs: Long, talking: Int): Collection<String> {
+        if (settled || suspects.size * 3 > talking) return emptyList()
+        val missing = suspects.filter { machine(it) == null }.keys
+        val waitMs = if (missing.size * FEW_MISSING <= talking) afterMs * 2 / 3 else afterMs
+        return if (now - claimedMs < waitMs) emptyList() else missing
     }
 
     /** Machines whose reports arrive while answers to them are lost again and again: they do nothing and hold others up. */
@@ -673,6 +689,7 @@
         const val LONE_RATIO = 4.0
         const val STRAGGLER_MS = 20_000L
         const val PROBE_MS = 3_000L
+        const val FEW_MISSING = 50
         const val UNREACHABLE = 5
     }
 }
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 
@@ -229,6 +230,25 @@
         assertTrue(typesAsked < 5 * machines, "$typesAsked looked up for $machines reports")
     }
 
+    /** At any time some machine of a large part is dead, and after a claim it would hold thousands of tasks up. */
+    @ParameterizedTest
+    @CsvSource("1,4900,0", "1,5100,1", "5,5100,0", "5,7600,5", "40,7600,0")
+    fun `machines not heard of since a claim are given back, sooner when they are few`(missing: Int, now: Long, returned: Int) {
+        val ids = (1..100).map { "m$it" }
+        val part = part(ids)
+        part.updateJob(job(1, 1), inherited = true)
+        ids.drop(missing).forEach { part.hear(it, 7, now - 500) }
+        assertEquals(ids.take(returned), part.hung(now, 7_500).sorted())
+        assertTrue(!part.settled)
+    }
+
+    @Test
+    fun `a part is given up only once nobody before its owner may act`() {
+        val part = part(othersUntil = 20_000)
+        part.sweep(10)
+        assertTrue(part.settled && !part.mayYield(19_000) && part.mayYield(21_000))
+    }
+
     /** Waiting for the loss instead would make a task late by the whole notice. */
     @Test
     fun `what cannot end before the cloud takes its machine begins elsewhere at once`() {
