--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -119,7 +119,7 @@
     )
     private val ownerTxn = OwnerTxn(state, replica, ownership, parts, random)
     private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, facts.teams, zones, random)
-    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, nowMs, random)
+    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, nowMs, wallMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val idleParts = IdleParts(views) { contact.sound }
     private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -25,6 +25,7 @@
     private val views: Map<String, PartView>,
     private val offers: (zone: String, spec: JobSpec) -> Boolean,
     private val nowMs: () -> Long,
+    private val wallMs: () -> Long,
     private val random: Random,
 ) {
     private val log = LoggerFactory.getLogger(Handover::class.java)
@@ -41,18 +42,23 @@
         var moves = 0
         for (held in part.waitingInOrder(nowMs())) {
             if (moves >= MOVES) return
-            if (held.over || held.spec.oneZone || held.spec.zone != null || held.pending.isEmpty) continue
             val spec = held.spec
+            if (held.over || spec.zone != null || held.pending.isEmpty) continue
+            // All of such a job is in one zone: it moves as a whole or not at all.
+            if (spec.oneZone && !held.allWaits) continue
             val cores = if (spec.spot) part.totalCores else part.ordinaryCores
             val own = if (spec.spot) part.mean() else part.ordinaryMean()
             val target = views.values.filter { it.zone != part.zone && offers(it.zone, spec) && ownership.ownerOf(it.zone) != null }
                 .minByOrNull { it.meanFor(spec) } ?: return
             val gap = own - target.meanFor(spec)
-            if (gap < MIN_GAP) continue
+            // Nothing waits for long while another part has room, however little the means differ.
+            val long = wallMs() - held.submittedMs > LONG_MS && target.meanFor(spec) < ROOMY
+            if (gap < if (long) SMALL_GAP else MIN_GAP) continue
             // Half of the gap, in cores of the smaller part: both means then meet, and nothing swings back.
             val theirs = if (spec.spot) target.cores else target.ordinaryCores
             val amount = gap / 2 * minOf(maxOf(cores, 1.0), maxOf(theirs, 1.0))
-            val tasks = part.setAside(held, maxOf(amount, spec.cores))
+            if (spec.oneZone && !long && held.waitingCores > amount * 2) continue
+            val tasks = part.setAside(held, if (spec.oneZone) Double.MAX_VALUE else maxOf(amount, spec.cores))
             if (tasks.isEmpty) continue
             moves++
             target.raise(spec, tasks.cardinality())
@@ -81,6 +87,9 @@
         const val EVERY_MS = 900L
         const val MOVES = 3
         const val MIN_GAP = 0.15
+        const val LONG_MS = 45_000L
+        const val SMALL_GAP = 0.02
+        const val ROOMY = 0.97
         const val MAX_SPANS = 48
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -152,7 +152,7 @@
 
     /** Sets tasks of [held] that wait aside for another part, up to so many [cores]; the last ones first. */
     fun setAside(held: PartJob, cores: Double): BitSet {
-        var left = if (held.spec.cores > 0) (cores / held.spec.cores).toInt() else held.waiting
+        var left = if (held.spec.cores > 0) minOf(cores / held.spec.cores, held.waiting.toDouble()).toInt() else held.waiting
         val chosen = BitSet()
         var task = held.pending.length() - 1
         while (task >= 0 && left > 0) {
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -54,6 +54,10 @@
     fun unheld(task: Int): Boolean =
         mine.get(task) && !leaving.get(task) && !active.containsKey(task) && !fresh.get(task) && !job.done.get(task)
 
+    /** Every task of the job that is not done waits here, and none is on a machine or may be. */
+    val allWaits: Boolean get() =
+        active.isEmpty() && doubtful.isEmpty && leaving.isEmpty && fresh.isEmpty && pending.cardinality() == spec.tasks - job.done.cardinality()
+
     val waitingCores: Double get() = (waiting + doubtful.cardinality()) * spec.cores
     val waiting: Int get() = pending.cardinality()
 }
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -175,6 +175,8 @@
         }
     }
 
+    fun controller(label: String): Controller = controllers.getValue(label)
+
     fun restart(label: String) {
         crash(label)
         startNode(label)
@@ -211,6 +213,9 @@
         return fields.toString().encodeToByteArray()
     }
 
+    /** A test submits it by itself. */
+    fun expect(spec: JobSpec): JobSpec = spec.also { specs[it.id] = it }
+
     /** Submits until some node accepts, then polls until the end; a cancelled one is withdrawn after a while. */
     fun user(spec: JobSpec, cancelAfterMs: Long? = null) = scope.launch {
         specs[spec.id] = spec
--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -143,6 +143,12 @@
                 restart("holt-a")
                 delay(8_000)
             },
+            Case("jobs that keep to one zone wait in a full one while another has room", mixture = false) {
+                for (id in 201..208) user(spec(id + if (id % 7 == 0) 100 else 0, 4, 260.0, zone = "a"))
+                delay(6_000)
+                for (id in 301..320) user(spec(id * 7, 2, 3.0))
+                delay(2_000)
+            },
             Case("all controllers are away for longer than a lease", mixture = false) {
                 longWork(runS = 30.0)
                 cancelNow(2)
