--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -144,10 +144,11 @@
                 delay(8_000)
             },
             Case("jobs that keep to one zone wait in a full one while another has room", mixture = false) {
-                for (id in 201..208) user(spec(id + if (id % 7 == 0) 100 else 0, 4, 260.0, zone = "a"))
-                delay(6_000)
-                for (id in 301..320) user(spec(id * 7, 2, 3.0))
-                delay(2_000)
+                for (id in 301..320) user(spec(id * 7, 2, 20.0, "bulk", Priority.BEST_EFFORT))
+                delay(1_500)
+                // Urgent work that may run nowhere else fills the zone for longer than anything may wait.
+                for (id in listOf(401, 402, 403, 404, 407, 408, 409, 411, 412, 414, 416)) user(spec(id, 3, 260.0, zone = "a").copy(spread = false, oneZone = false))
+                delay(10_000)
             },
             Case("all controllers are away for longer than a lease", mixture = false) {
                 longWork(runS = 30.0)
