Pipelines: jobs that await others, limits that will be lowered, and records that both versions can read

A job is ready once all that it awaits is durably done and cancelled once one of them is: both are derived from the replica alone, along indexes both ways, without recursion. It is in no queue and holds nothing before. The priority and the due time of the last job of a pipeline are lent to those before it, for as long as it needs them. Final states of orphans are written in batches; answers do not wait for that. Nothing larger than the smaller of the present and the coming limits is written, and a segment above it is split when it is next written; the lower rates hold after the first refusals.

--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -7,14 +7,14 @@
 import io.otterknot.placement.PartView
 import io.otterknot.state.Final
 import io.otterknot.state.Job
+import io.otterknot.state.JobChanges
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
-import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
+import io.otterknot.state.ValueLimits
 import io.otterknot.wire.Guard
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobStatus
@@ -38,7 +38,7 @@
     private val views: () -> List<PartView>,
     private val types: () -> List<MachineType>?,
     private val teams: List<TeamFacts>,
-    private val maxValueBytes: Int,
+    private val limits: ValueLimits,
     private val isolated: () -> Boolean,
     private val wallMs: () -> Long,
     private val random: Random,
@@ -62,30 +62,37 @@
         }
         val offered = types() ?: return later("the machine types are not known yet")
         impossible(spec, offered)?.let { return refuse(id, 422, it) }
+        val awaits = spec.awaits.orEmpty()
+        if (awaits.isNotEmpty()) {
+            // Only what was accepted may be awaited; another node may have accepted it a moment ago.
+            if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+            jobs[spec.id]?.let { return tell(it, 200) }
+            awaits.firstOrNull { jobs[it] == null }?.let { return refuse(id, 422, "Awaits names $it, which was never accepted") }
+        }
         val record = JobRecord(
             spec = spec,
-            spans = PartChooser.deal(spec, views(), random),
+            // What waits for others is nobody's load yet.
+            spans = PartChooser.deal(spec, if (awaits.all(::done)) views() else views().map { it.copy() }, random),
             submittedMs = wallMs(),
             nonce = random.nextLong().toULong().toString(36),
         )
-        val value = encodeRecord(JobRecord.serializer(), record)
-        if (value.toString().length > maxValueBytes) return refuse(id, 400, "the description is too long")
-        if (!client.budget.tryTake(1, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
         val key = Keys.job(spec.id)
-        return when (val outcome = client.txn(listOf(Guard(key, 0)), listOf(Change(put = key, value = value)))) {
-            is TxnOutcome.Applied -> accepted(spec.id)
+        val changes = JobChanges.accept(key, record, limits) ?: return refuse(id, 400, "the description is too long, or Awaits names too many jobs")
+        if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
+        return when (val outcome = client.txn(changes.map { Guard(it.key, 0) }, changes)) {
+            is TxnOutcome.Applied -> accepted(spec)
             is TxnOutcome.Conflict ->
                 if (replica.reach(outcome.revision, REACH_MS)) current(spec.id, 200) else later("the job is known; its state is being read")
             is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
             is TxnOutcome.Unknown -> {
                 // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
-                if (replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce) accepted(spec.id) else later("the state service did not answer")
+                if (replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce) accepted(spec) else later("the state service did not answer")
             }
         }
     }
 
     suspend fun poll(id: String): HttpResponse {
-        jobs[id]?.final?.let { return tell(jobs[id]!!, 200) }
+        jobs[id]?.let { if (it.outcome != null) return tell(it, 200) }
         if (!isJobId(id)) return unknown(id)
         return current(id, 200)
     }
@@ -93,16 +100,14 @@
     suspend fun withdraw(id: String): HttpResponse {
         if (!isJobId(id)) return unknown(id)
         repeat(TRIES) {
-            jobs[id]?.let { if (it.final != null) return tell(it, 200) }
+            jobs[id]?.let { if (it.outcome != null) return tell(it, 200) }
             // What is cancelled must be the job as it is: an older version would only be refused.
             if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later("the state service is away")
             val job = jobs[id] ?: return unknown(id)
-            if (job.final != null) return tell(job, 200)
-            if (!client.budget.tryTake(1, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
-            val key = Keys.job(id)
-            val record = JobRecord(final = Final.CANCELLED, tasks = job.spec?.tasks ?: 0)
-            val change = Change(put = key, value = encodeRecord(JobRecord.serializer(), record))
-            when (val outcome = client.txn(listOf(Guard(key, job.version)), listOf(change))) {
+            if (job.outcome != null) return tell(job, 200)
+            val changes = JobChanges.end(job, Final.CANCELLED, wallMs())
+            if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
+            when (val outcome = client.txn(listOf(Guard(Keys.job(id), job.version)), changes)) {
                 is TxnOutcome.Applied -> {
                     replica.reach(outcome.revision, REACH_MS)
                     log.info("{} is cancelled", id)
@@ -118,13 +123,13 @@
 
     /** The state of a job as of now: a final one from memory, any other only once the replica is surely up to date. */
     private suspend fun current(id: String, code: Int): HttpResponse {
-        jobs[id]?.let { if (it.final != null) return tell(it, code) }
+        jobs[id]?.let { if (it.outcome != null) return tell(it, code) }
         if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
         val job = jobs[id] ?: return unknown(id)
         return tell(job, code)
     }
 
-    private fun tell(job: Job, code: Int): HttpResponse = when (job.final) {
+    private fun tell(job: Job, code: Int): HttpResponse = when (job.outcome) {
         Final.DONE -> status(JobStatus(job.id, "done", job.record?.tasks, 0), code)
         Final.CANCELLED -> status(JobStatus(job.id, "aborted"), code)
         null -> {
@@ -162,7 +167,13 @@
         null
     }
 
-    private fun accepted(id: String) = status(JobStatus(id, "queued"), 201)
+    private fun done(id: String) = jobs[id]?.final == Final.DONE
+
+    /** A job that awaits a cancelled one is accepted all the same, and cancelled with it. */
+    private fun accepted(spec: JobSpec): HttpResponse {
+        val orphaned = spec.awaits.orEmpty().any { jobs[it]?.outcome == Final.CANCELLED }
+        return status(JobStatus(spec.id, if (orphaned) "aborted" else "queued"), 201)
+    }
 
     private fun status(status: JobStatus, code: Int) = HttpResponse.json(code, JobStatus.serializer(), status)
 
--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -39,6 +39,7 @@
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.StateLink
+import io.otterknot.state.ValueLimits
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
@@ -71,7 +72,10 @@
     private val facts = settings.facts
     private val nodes = maxOf(facts.nodes, settings.members.size + 1)
     private val zones = facts.zones
-    private val budget = RateBudget(facts.state.rps, facts.state.writeRps, nowMs) { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) }
+    private val budget = RateBudget(
+        facts.state.rps, facts.state.writeRps, nowMs, { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) },
+        RateBudget.Limits(facts.state.leastRps, facts.state.leastWriteRps),
+    )
     private val figures = Figures(nowMs)
     private val contact = Contact(nowMs)
     private val relays = Relays(links.peers.values.map(::PeerRelay), random, nowMs)
@@ -81,6 +85,9 @@
     // A tenth of this node's requests goes to reopened watches at most every so often.
     private val replica = Replica(state, random, nowMs, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
     private val jobs = JobTable()
+
+    /** Nothing larger is written, now or once the limits are lowered. */
+    private val maxValueBytes = (facts.state.leastValueKb * 1024).toInt()
     private val parts = LinkedHashMap<String, Part>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
     private val ownership: Ownership = Ownership(
@@ -96,7 +103,7 @@
     private val claimed = ArrayList<Claim>()
     private val cloud = CloudClient(
         links.cloud,
-        RateBudget(facts.cloud.rps, 1.0, nowMs) { RateBudget.Share(share(EVEN_CALLS), 1.0) },
+        RateBudget(facts.cloud.rps, 1.0, nowMs, { RateBudget.Share(share(EVEN_CALLS), 1.0) }),
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
     private val aims = Aims(
@@ -108,18 +115,18 @@
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
-    private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.txnOps, MAX_BATCH))
+    private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.leastTxnOps, MAX_BATCH))
     private val keeper = Keeper(
-        state, replica, jobs, parts, ownership, writer, budget, minOf((facts.state.valueKb * 512).toInt(), MAX_RECORD_BYTES),
-        facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, nowMs,
+        state, replica, jobs, parts, ownership, writer, budget, minOf((facts.state.leastValueKb * 1024 * RECORD_SHARE).toInt(), MAX_RECORD_BYTES),
+        facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, facts.state.leastTxnOps, nowMs, wallMs,
     )
     private val users = UserApi(
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
-        (facts.state.valueKb * 1024).toInt(), ::isolated, wallMs, random,
+        ValueLimits(maxValueBytes, facts.state.leastTxnOps), ::isolated, wallMs, random,
     )
     private val ownerTxn = OwnerTxn(state, replica, ownership, parts, random)
     private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, facts.teams, zones, random)
-    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, nowMs, wallMs, random)
+    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, maxValueBytes, nowMs, wallMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val idleParts = IdleParts(views) { contact.sound }
     private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
@@ -232,8 +239,12 @@
     private fun changed(key: String, entry: Entry?) {
         when {
             key.startsWith(Keys.JOBS) -> {
-                val job = jobs.changeJob(key, entry)
-                parts.values.forEach { it.updateJob(job, inherited = false) }
+                val changed = jobs.changeJob(key, entry)
+                parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
+            }
+            key.startsWith(Keys.AWAITS) -> {
+                val changed = jobs.changeAwaits(key, entry)
+                parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
             }
             key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) parts.values.forEach { it.updateDone(job) }
             key.startsWith(Keys.MACHINES) -> {
@@ -265,7 +276,7 @@
         fun shape(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
         if (shape(known) == shape(offered)) return
         val value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered))
-        if (value.toString().length > facts.state.valueKb * 1024) return
+        if (value.toString().length > maxValueBytes) return
         budget.take(1)
         // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
         val outcome = state.txn(listOf(Guard(Keys.TYPES, entry?.version ?: 0)), listOf(Change(put = Keys.TYPES, value = value)))
@@ -321,6 +332,7 @@
         const val EVEN_CHANGES = 0.4
         const val EVEN_CALLS = 0.25
         const val MAX_BATCH = 16
+        const val RECORD_SHARE = 0.8
         const val MAX_RECORD_BYTES = 4_000
         const val ISOLATED_MS = 3_500L
         const val SEEK_MS = 6_000L
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -2,10 +2,11 @@
 
 import io.otterknot.ownership.Ownership
 import io.otterknot.placement.Part
+import io.otterknot.placement.PartJob
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.Final
 import io.otterknot.state.Job
-import io.otterknot.state.JobRecord
+import io.otterknot.state.JobChanges
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
 import io.otterknot.state.MachinesRecord
@@ -20,7 +21,6 @@
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
@@ -39,7 +39,9 @@
     /** The most bytes that the records of one key may take. */
     private val maxBytes: Int,
     private val teams: List<String>,
+    private val txnOps: Int,
     private val nowMs: () -> Long,
+    private val wallMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(Keeper::class.java)
     private val meanSentMs = HashMap<String, Long>()
@@ -87,43 +89,57 @@
         val prefix = Keys.done(part.zone, "")
         val segments = jobs.segments(prefix)
         val wishes = ArrayList<Wish>()
-        val fresh = LinkedHashMap<String, BitSet>()
+        val fresh = LinkedHashMap<String, PartJob>()
         for (held in part.jobs) {
             if (held.fresh.isEmpty) continue
-            for (chunk in 0..(held.fresh.length() - 1) / TaskBits.CHUNK) fresh[TaskBits.name(held.id, chunk)] = held.fresh
+            for (chunk in 0..(held.fresh.length() - 1) / TaskBits.chunkOf(held.spec.tasks)) fresh[TaskBits.name(held.id, chunk)] = held
         }
         var number = segments.keys.filter { it.startsWith("$prefix${part.token}-") }.maxOfOrNull { it.substringAfterLast('-').toInt() } ?: 0
         fun key() = Keys.done(part.zone, "${part.token}-$number")
         val open = key()
         if (fresh.isNotEmpty()) {
-            var bits = segments[open].orEmpty().filterKeys(jobs::matters).toMutableMap()
-            var bytes = bits.entries.sumOf { size(it.key, it.value) }
-            for ((name, tasks) in fresh) {
-                val all = tasks.clone() as BitSet
+            var segment = Segment(segments[open] ?: DoneRecord())
+            for ((name, held) in fresh) {
+                val size = TaskBits.chunkOf(held.spec.tasks)
                 val chunk = TaskBits.chunk(name)
-                bits[name]?.let { TaskBits.decodeInto(it, chunk, all) }
-                val text = TaskBits.encode(all, chunk)
-                val more = size(name, text) - (bits[name]?.let { size(name, it) } ?: 0)
-                if (bytes + more > maxBytes && bits.isNotEmpty()) {
-                    wishes.add(wish(key(), bits))
+                val all = held.fresh.clone() as BitSet
+                segment.of(size)[name]?.let { TaskBits.decodeInto(it, chunk, all, size) }
+                val text = TaskBits.encode(all, chunk, size)
+                if (!segment.fits(name, text, size)) {
+                    wishes.add(Wish(key(), segment.value()))
                     number++
-                    bits = HashMap()
-                    bytes = 0
+                    segment = Segment(DoneRecord())
+                    segment.of(size)[name] = TaskBits.encode(held.fresh, chunk, size)
+                } else {
+                    segment.of(size)[name] = text
                 }
-                bits[name] = text
-                bytes += more
             }
-            wishes.add(wish(key(), bits))
+            wishes.add(Wish(key(), segment.value()))
         }
-        for ((key, bits) in segments) {
-            if (wishes.none { it.key == key } && bits.keys.none(jobs::matters)) wishes.add(Wish(key, null))
+        for ((key, record) in segments) {
+            val says = (record.bits.keys + record.fine?.keys.orEmpty()).any(jobs::matters)
+            if (!says && wishes.none { it.key == key }) wishes.add(Wish(key, null))
         }
         return wishes
     }
 
-    private fun size(name: String, text: String) = name.length + text.length + 6
+    /** A segment as it shall be, without what is said of jobs that are over. */
+    private inner class Segment(record: DoneRecord) {
+        private val bits = record.bits.filterKeys(jobs::matters).toMutableMap()
+        private val fine = record.fine.orEmpty().filterKeys(jobs::matters).toMutableMap()
 
-    private fun wish(key: String, bits: Map<String, String>) = Wish(key, encodeRecord(DoneRecord.serializer(), DoneRecord(bits)))
+        fun of(chunkSize: Int): MutableMap<String, String> = if (chunkSize == TaskBits.CHUNK) bits else fine
+
+        /** Whether it may hold [text] under [name] besides, or holds nothing yet; one that is too large already takes no more. */
+        fun fits(name: String, text: String, chunkSize: Int): Boolean {
+            val others = listOf(bits, fine).sumOf { said -> said.entries.sumOf { size(it.key, it.value) } } - (of(chunkSize)[name]?.let { size(name, it) } ?: 0)
+            return bits.isEmpty() && fine.isEmpty() || others + size(name, text) <= maxBytes
+        }
+
+        fun value() = encodeRecord(DoneRecord.serializer(), DoneRecord(bits, fine.ifEmpty { null }))
+
+        private fun size(name: String, text: String) = name.length + text.length + 6
+    }
 
     // ---- means
 
@@ -143,24 +159,29 @@
 
     // ---- finished jobs
 
-    /** The owner of a job's home part makes it final once the completions of all its tasks are durable. */
+    /**
+     * The owner of a job's home part makes it final once the completions of all its tasks are durable, or once a job that it
+     * awaits is cancelled; users are told of the latter without waiting for it.
+     */
     private suspend fun finishJobs() {
-        val complete = jobs.live.values.filter { job -> job.complete && job.record?.homeZone?.let(ownership::claimed) != null }
-        for ((home, ended) in complete.groupBy { it.record?.homeZone.orEmpty() }) {
-            for (batch in ended.chunked(minOf(budget.most, BATCH))) if (!finish(home, batch)) return
+        val over = jobs.live.values.filter { job -> (job.complete || job.needs.orphaned) && job.record?.homeZone?.let(ownership::claimed) != null }
+        for ((home, ended) in over.groupBy { it.record?.homeZone.orEmpty() }) {
+            for (batch in ended.chunked(minOf(budget.most, txnOps, BATCH))) {
+                // What brings keys of its own to remove is ended by itself.
+                val (large, small) = batch.partition { (it.record?.awaitKeys ?: 0) > 0 }
+                for (group in large.map(::listOf) + listOf(small)) if (group.isNotEmpty() && !finish(home, group)) return
+            }
         }
     }
 
     private suspend fun finish(home: String, batch: List<Job>): Boolean {
         val owner = ownership.guard(home) ?: return true
-        budget.takeSpare(batch.size)
         val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
-        val changes = batch.map { job ->
-            Change(put = Keys.job(job.id), value = encodeRecord(JobRecord.serializer(), JobRecord(final = Final.DONE, tasks = job.spec?.tasks ?: job.record?.tasks ?: 0)))
-        }
+        val changes = batch.flatMap { JobChanges.end(it, if (it.needs.orphaned) Final.CANCELLED else Final.DONE, wallMs()) }
+        budget.takeSpare(changes.size)
         return when (val outcome = client.txn(guards, changes)) {
             is TxnOutcome.Applied -> {
-                log.debug("done: {}", batch.map { it.id })
+                log.debug("done or cancelled: {}", batch.map { it.id })
                 replica.reach(outcome.revision, REACH_MS)
             }
             // Some job was cancelled or handed on meanwhile; what the replica then shows is tried again.
--- a/src/main/kotlin/io/otterknot/config/Settings.kt
+++ b/src/main/kotlin/io/otterknot/config/Settings.kt
@@ -72,6 +72,22 @@
     @SerialName("write_rps") val writeRps: Double,
     @SerialName("value_kb") val valueKb: Double,
     @SerialName("txn_ops") val txnOps: Int,
+    /** Limits that will hold from some moment on, without notice; what is not named stays. */
+    val next: NextStateFacts = NextStateFacts(),
+) {
+    /** What holds now and later. */
+    val leastValueKb: Double get() = minOf(valueKb, next.valueKb ?: valueKb)
+    val leastTxnOps: Int get() = minOf(txnOps, next.txnOps ?: txnOps)
+    val leastRps: Double get() = minOf(rps, next.rps ?: rps)
+    val leastWriteRps: Double get() = minOf(writeRps, next.writeRps ?: writeRps)
+}
+
+@Serializable
+data class NextStateFacts(
+    val rps: Double? = null,
+    @SerialName("write_rps") val writeRps: Double? = null,
+    @SerialName("value_kb") val valueKb: Double? = null,
+    @SerialName("txn_ops") val txnOps: Int? = null,
 )
 
 @Serializable
@@ -136,9 +152,9 @@
             facts.workers.cancelS > facts.workers.leaseS + 4,
             "facts.workers: cancel_s leaves no room for lease_s and a take-over",
         )
-        demand(facts.state.rps > 0 && facts.state.writeRps > 0, "facts.state: rps and write_rps must be above 0")
-        demand(facts.state.txnOps >= 4, "facts.state: txn_ops is below 4")
-        demand(facts.state.valueKb >= 1, "facts.state: value_kb is below 1")
+        demand(facts.state.leastRps > 0 && facts.state.leastWriteRps > 0, "facts.state: rps and write_rps must be above 0, those of next too")
+        demand(facts.state.leastTxnOps >= 4, "facts.state: txn_ops is below 4, or that of next")
+        demand(facts.state.leastValueKb >= 1, "facts.state: value_kb is below 1, or that of next")
         demand(facts.cloud.rps > 0, "facts.cloud: rps must be above 0")
     }
 }
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -24,6 +24,7 @@
     private val parts: Map<String, Part>,
     private val views: Map<String, PartView>,
     private val offers: (zone: String, spec: JobSpec) -> Boolean,
+    private val maxValueBytes: Int,
     private val nowMs: () -> Long,
     private val wallMs: () -> Long,
     private val random: Random,
@@ -52,7 +53,7 @@
                 .minByOrNull { it.meanFor(spec) } ?: return
             val gap = own - target.meanFor(spec)
             // Nothing waits for long while another part has room, however little the means differ.
-            val long = wallMs() - held.submittedMs > LONG_MS && target.meanFor(spec) < ROOMY
+            val long = wallMs() - held.readyMs > LONG_MS && target.meanFor(spec) < ROOMY
             if (gap < if (long) SMALL_GAP else MIN_GAP) continue
             // Half of the gap, in cores of the smaller part: both means then meet, and nothing swings back.
             val theirs = if (spec.spot) target.cores else target.ordinaryCores
@@ -71,12 +72,13 @@
         val version = held.job.version
         if (record?.spec == null) return
         val spans = Spans.move(record.spans, tasks, zone)
-        if (spans.size > MAX_SPANS) {
+        val key = Keys.job(held.id)
+        val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
+        // What is cut into too many pieces stays where it is: a value that is too large would be refused.
+        if (spans.size > MAX_SPANS || value.toString().length > maxValueBytes) {
             part.settleHandover(held, tasks)
             return
         }
-        val key = Keys.job(held.id)
-        val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
         val settled = txn.settle(part, version, Change(put = key, value = value))
         if (settled == OwnerTxn.Settled.PART_LOST) return
         log.debug("{}: {} tasks of {} to {}: {}", part.zone, tasks.cardinality(), held.id, zone, settled)
--- a/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -23,6 +23,9 @@
     /** Ask the state service this for me. */
     class Carry(val method: String, val target: String, val body: ByteArray?, val timeoutMs: Int) : PeerMessage
 
+    /** A kind that this version does not know; it is answered with [Known], and the connection goes on. */
+    data class Unknown(val kind: Int) : PeerMessage
+
     /** What it said; status 0: nothing. */
     class Carried(val status: Int, val body: ByteArray) : PeerMessage
 }
@@ -43,6 +46,7 @@
                 body.writeInt(message.body?.size ?: -1).write(message.body ?: EMPTY)
             }
             is PeerMessage.Yield -> body.writeByte(7).writeName(message.zone).writeInt(message.owned)
+            is PeerMessage.Unknown -> body.writeByte(message.kind)
             is PeerMessage.Carried -> body.writeByte(6).writeInt(message.status).writeInt(message.body.size).write(message.body)
         }
         return Buffer().writeInt(body.size.toInt()).also { it.writeAll(body) }.readByteArray()
@@ -60,7 +64,7 @@
                 5 -> PeerMessage.Carry(buffer.readName(), buffer.readName(), timeoutMs = buffer.readInt(), body = buffer.readBytes())
                 6 -> PeerMessage.Carried(buffer.readInt(), buffer.readBytes() ?: EMPTY)
                 7 -> PeerMessage.Yield(buffer.readName(), buffer.readInt())
-                else -> throw Malformed("unknown kind of message $kind")
+                else -> return PeerMessage.Unknown(kind)
             }
             if (!buffer.exhausted()) throw Malformed("bytes after the message")
             return message
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -15,21 +15,28 @@
  */
 class Aims(private val byKind: Map<String, List<Aim>>) {
 
-    /** How many of its aims a job of this age has missed, as it still waits. */
-    fun missed(spec: JobSpec, ageMs: Long): Int = byKind[spec.kind].orEmpty().count { ageMs / 1000.0 > latestStartS(spec, it) }
-
-    /** How long until a job of this age, as it still waits, misses its next aim; null: it has missed all that it had. */
-    fun slackS(spec: JobSpec, ageMs: Long): Double? {
-        val aims = byKind[spec.kind].orEmpty()
-        if (aims.isEmpty()) return Double.MAX_VALUE
-        return aims.map { latestStartS(spec, it) - ageMs / 1000.0 }.filter { it >= 0 }.minOrNull()
+    /** How many of its aims a job has missed at [wallMs], as it still waits. */
+    fun missed(job: PartJob, wallMs: Long): Int = latestStarts(job).count { wallMs > it }
+
+    /** How long until a job, as it still waits at [wallMs], misses its next aim; null: it has missed all that it had. */
+    fun slackS(job: PartJob, wallMs: Long): Double? {
+        val latest = latestStarts(job)
+        if (latest.isEmpty()) return Double.MAX_VALUE
+        return latest.filter { it >= wallMs }.minOrNull()?.let { (it - wallMs) / 1000.0 }
     }
 
-    /** At what age waiting tasks of a job must begin for the aim to be met. */
-    private fun latestStartS(spec: JobSpec, aim: Aim): Double = when (aim) {
-        is Aim.Started -> aim.withinS
-        is Aim.Finished -> aim.withinS - spec.estimateS * LIKELY
-        is Aim.Deadline -> spec.dueS?.let { it * aim.times - spec.estimateS * LIKELY } ?: Double.MAX_VALUE
+    /** When, by the time of day, waiting tasks of a job must begin for each of its aims to be met, and for those of jobs that need it. */
+    private fun latestStarts(job: PartJob): List<Double> {
+        val likely = job.spec.estimateS * LIKELY
+        val own = byKind[job.spec.kind].orEmpty().map { aim ->
+            when (aim) {
+                is Aim.Started -> job.readyMs + aim.withinS * 1000
+                is Aim.Finished -> job.readyMs + (aim.withinS - likely) * 1000
+                is Aim.Deadline -> job.spec.dueS?.let { job.submittedMs + (it * aim.times - likely) * 1000 } ?: Double.MAX_VALUE
+            }
+        }
+        val lent = job.lentDueMs ?: return own
+        return own + (lent - likely * 1000)
     }
 
     /**
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -127,16 +127,19 @@
     fun updateJob(job: Job, inherited: Boolean) {
         val record = job.record ?: return
         val spec = record.spec
-        if (spec == null || record.final != null) {
+        if (spec == null || job.outcome != null) {
             job(job.id)?.let(::drop)
             return
         }
+        // Until all that it awaits is done, it is in no queue here and holds nothing.
+        if (!job.ready) return
         var held = job(job.id)
         if (held == null) {
             if (record.spans.none { it.zone == zone }) return
-            held = PartJob(job, spec, teamSlots.getInt(spec.team), record.submittedMs)
+            held = PartJob(job, spec, teamSlots.getInt(spec.team))
             jobByName.add(held)
         }
+        if (held.takeLent()) scheduler.invalidate()
         val mine = BitSet()
         record.spans.forEach { if (it.zone == zone) mine.set(it.from, it.until) }
         val came = (mine.clone() as BitSet).apply { andNot(held.mine); andNot(job.done) }
--- a/src/main/kotlin/io/otterknot/placement/PartChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartChooser.kt
@@ -22,6 +22,15 @@
         if (!spec.spot) ordinaryMean += amount / maxOf(ordinaryCores, MIN_CORES)
     }
 
+    /** A view of its own, for a choice that is no load yet. */
+    fun copy() = PartView(zone).also {
+        it.mean = mean
+        it.cores = cores
+        it.ordinaryMean = ordinaryMean
+        it.ordinaryCores = ordinaryCores
+        it.idleMachines = idleMachines
+    }
+
     private companion object {
         const val MIN_CORES = 32.0
     }
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -6,9 +6,30 @@
 import java.util.BitSet
 
 /** The tasks of one job that belong to this part. Each is in one of the sets, active, or done. */
-class PartJob(val job: Job, val spec: JobSpec, val team: Int, val submittedMs: Long) {
+class PartJob(val job: Job, described: JobSpec, val team: Int) {
     val id: String get() = job.id
 
+    /** As its user describes it, but as urgent as the most urgent job that needs it. */
+    var spec: JobSpec = described
+        private set
+
+    val submittedMs: Long = job.record?.submittedMs ?: 0
+
+    /** Since when it waits: aims on waiting count from the end of the last job that it awaited. */
+    val readyMs: Long = job.readyMs
+
+    /** When it has to be complete for the sake of jobs that need it. */
+    val lentDueMs: Long? get() = job.needs.lentDueMs
+
+    /** Takes the priority that the jobs which need it lend it now; whether that is another than before. */
+    fun takeLent(): Boolean {
+        val own = job.spec ?: return false
+        val priority = minOf(own.priority, job.needs.lentPriority ?: own.priority)
+        if (priority == spec.priority) return false
+        spec = own.copy(priority = priority)
+        return true
+    }
+
     val mine = BitSet()
 
     /** May be started now. */
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -50,7 +50,7 @@
     val order = WaitOrder(aims, wallOf)
     private val roomMaker = RoomMaker(
         startable = { minOf(it.waiting, ledger.startable(it)) },
-        patient = { wallOf(passMs) - it.submittedMs < aims.patienceMs(it.spec) },
+        patient = { wallOf(passMs) - it.readyMs < aims.patienceMs(it.spec) },
         stop = ledger::stop,
     )
     private var dirty = true
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -60,7 +60,7 @@
         queues.forEach { it.clear() }
         for (job in sorted(jobs, now)) {
             leastCores = minOf(leastCores, job.spec.cores)
-            if (job.unbegun && wallOf(now) - job.submittedMs > BEGIN_MS) overdue.add(job)
+            if (job.unbegun && wallOf(now) - job.readyMs > BEGIN_MS) overdue.add(job)
             val level = queues[job.spec.priority.ordinal]
             (level.firstOrNull { it.team == job.team } ?: Queue(job.team).also(level::add)).jobs.add(job)
         }
@@ -72,8 +72,8 @@
         val waiting = ArrayList<PartJob>()
         for (job in jobs) {
             if (job.pending.isEmpty) continue
-            job.missedAims = aims.missed(job.spec, wall - job.submittedMs)
-            job.rank = rank(job.missedAims, aims.slackS(job.spec, wall - job.submittedMs))
+            job.missedAims = aims.missed(job, wall)
+            job.rank = rank(job.missedAims, aims.slackS(job, wall))
             job.workLeft = job.remainingWork
             waiting.add(job)
         }
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -9,34 +9,56 @@
     var version: Long = 0
     val done = BitSet()
 
+    /** What it awaits, and what follows from that; see [Pipelines]. */
+    var needs = Needs(emptySet())
+
     val spec: JobSpec? get() = record?.spec
     val final: Final? get() = record?.final
+
+    /** Its final state, written or certain: what awaits a cancelled job can never run. */
+    val outcome: Final? get() = final ?: Final.CANCELLED.takeIf { needs.orphaned }
     val live: Boolean get() = record?.spec != null && final == null
-    val complete: Boolean get() = spec?.let { done.cardinality() >= it.tasks } ?: false
+    val complete: Boolean get() = outcome == null && spec?.let { done.cardinality() >= it.tasks } ?: false
+
+    /** Every job that it awaits is durably done, which never turns back. */
+    val ready: Boolean get() = needs.open == 0 && !needs.orphaned
+
+    /** Since when it could run, by the time of day. */
+    val readyMs: Long get() = maxOf(record?.submittedMs ?: 0, needs.metMs)
 }
 
 /** All jobs ever accepted; final ones are kept without their description. */
 class JobTable {
     private val jobs = HashMap<String, Job>()
-    private val segments = HashMap<String, Map<String, String>>()
+    private val segments = HashMap<String, DoneRecord>()
+    private val pipelines = Pipelines { jobs[it] }
     val live = LinkedHashMap<String, Job>()
 
     operator fun get(id: String): Job? = jobs[id]?.takeIf { it.record != null }
 
-    /** Takes a change of a job's own key. */
-    fun changeJob(key: String, entry: Entry?): Job {
-        val id = key.substring(Keys.JOBS.length)
-        val job = jobs.getOrPut(id) { Job(id) }
-        if (entry == null) return job
+    private fun known(id: String) = jobs.getOrPut(id) { Job(id) }
+
+    /** Takes a change of a job's own key; the job, and others of which something else holds now. */
+    fun changeJob(key: String, entry: Entry?): List<Job> {
+        val job = known(key.substring(Keys.JOBS.length))
+        if (entry == null) return listOf(job)
+        val ended = job.final != null
         job.record = decodeRecord(JobRecord.serializer(), entry.value)
         job.version = entry.version
         if (job.live) {
-            live[id] = job
+            live[job.id] = job
         } else {
-            live.remove(id)
+            live.remove(job.id)
             job.done.clear()
         }
-        return job
+        return if (ended) listOf(job) else listOf(job) + pipelines.changed(job)
+    }
+
+    /** Takes a key with jobs that some job awaits. */
+    fun changeAwaits(key: String, entry: Entry?): List<Job> {
+        if (entry == null) return emptyList()
+        val path = key.substring(Keys.AWAITS.length)
+        return pipelines.more(known(path.substringBefore('/')), path.substringAfter('/').toInt(), decodeRecord(AwaitsRecord.serializer(), entry.value).jobs)
     }
 
     /** Takes a change of a segment of completions; the jobs of which tasks are newly done. */
@@ -45,22 +67,26 @@
             segments.remove(key)
             return emptyList()
         }
-        val known = segments[key].orEmpty()
-        val bits = decodeRecord(DoneRecord.serializer(), entry.value).bits
-        segments[key] = bits
-        val changed = ArrayList<Job>()
-        for ((name, text) in bits) {
-            if (known[name] == text) continue
-            val job = jobs.getOrPut(TaskBits.job(name)) { Job(TaskBits.job(name)) }
-            if (job.final != null) continue
-            TaskBits.decodeInto(text, TaskBits.chunk(name), job.done)
-            changed.add(job)
+        val before = segments[key] ?: DoneRecord()
+        val record = decodeRecord(DoneRecord.serializer(), entry.value)
+        segments[key] = record
+        val changed = LinkedHashSet<Job>()
+        fun take(bits: Map<String, String>, known: Map<String, String>, size: Int) {
+            for ((name, text) in bits) {
+                if (known[name] == text) continue
+                val job = known(TaskBits.job(name))
+                if (job.final != null) continue
+                TaskBits.decodeInto(text, TaskBits.chunk(name), job.done, size)
+                changed.add(job)
+            }
         }
-        return changed
+        take(record.bits, before.bits, TaskBits.CHUNK)
+        take(record.fine.orEmpty(), before.fine.orEmpty(), TaskBits.FINE_CHUNK)
+        return changed.toList()
     }
 
     /** The segments of completions under [prefix], by key. */
-    fun segments(prefix: String): Map<String, Map<String, String>> = segments.filterKeys { it.startsWith(prefix) }
+    fun segments(prefix: String): Map<String, DoneRecord> = segments.filterKeys { it.startsWith(prefix) }
 
     /** Whether a name in a segment still says something: its job is not over. */
     fun matters(name: String): Boolean = jobs[TaskBits.job(name)]?.final == null
--- a/src/main/kotlin/io/otterknot/state/Keys.kt
+++ b/src/main/kotlin/io/otterknot/state/Keys.kt
@@ -11,6 +11,8 @@
     const val ALLOTMENTS = "o/q/"
     const val OVERRIDES = "o/x/"
 
+    const val AWAITS = "o/w/"
+
     const val TYPES = "o/t"
 
     fun job(id: String) = JOBS + id
@@ -18,6 +20,7 @@
     fun part(zone: String) = PARTS + zone
     fun machines(zone: String) = "$MACHINES$zone/"
     fun machines(zone: String, segment: Int) = "$MACHINES$zone/$segment"
+    fun awaits(job: String, number: Int) = "$AWAITS$job/$number"
     fun override(zone: String) = OVERRIDES + zone
     fun mean(zone: String) = MEANS + zone
     fun allotment(team: String) = ALLOTMENTS + team
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import org.slf4j.LoggerFactory
 
 /**
  * This node's share of a service's limits, as two buckets of one second's worth. The [share] of each may change as
@@ -12,14 +13,21 @@
  * they say. Duties wait until there is something for them and leave no debt behind, so that users never queue behind
  * a long batch; and what only reads never waits for changes.
  */
-class RateBudget(requestsPerS: Double, changesPerS: Double, private val nowMs: () -> Long, private val share: () -> Share = { Share.WHOLE }) {
+class RateBudget(
+    requestsPerS: Double, changesPerS: Double, private val nowMs: () -> Long,
+    private val share: () -> Share = { Share.WHOLE },
+    /** What the limits will be lowered to some day, without notice: the first refusals tell that they have been. */
+    private val later: Limits? = null,
+) {
+    class Limits(val requestsPerS: Double, val changesPerS: Double)
+
     class Share(val requests: Double, val changes: Double) {
         companion object {
             val WHOLE = Share(1.0, 1.0)
         }
     }
 
-    private class Bucket(val wholePerS: Double, var filledAt: Long) {
+    private class Bucket(var wholePerS: Double, var filledAt: Long) {
         var perS = wholePerS
         var level = Double.MAX_VALUE
         val size: Double get() = maxOf(perS * BURST, 1.0)
@@ -45,6 +53,21 @@
         changes.fill(now, share.changes)
     }
 
+    private var refusedMs = Long.MIN_VALUE / 2
+    private var lowered = false
+
+    /** The service has refused a request for its rate. Once may be another node's doing; the lower limits then hold for good. */
+    fun refused() {
+        val now = nowMs()
+        if (later != null && !lowered && now - refusedMs < REFUSALS_MS) {
+            lowered = true
+            requests.wholePerS = later.requestsPerS
+            changes.wholePerS = later.changesPerS
+            log.info("requests are refused for their rate: from now on {} requests and {} changes a second", later.requestsPerS, later.changesPerS)
+        }
+        refusedMs = now
+    }
+
     private fun use(changeCount: Int, requestCount: Int = 1) {
         requests.level -= requestCount
         changes.level -= changeCount
@@ -99,6 +122,8 @@
     }
 
     private companion object {
+        val log: org.slf4j.Logger = LoggerFactory.getLogger(RateBudget::class.java)
+        const val REFUSALS_MS = 10_000L
         const val BURST = 0.9
         const val RESERVE = 0.4
     }
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -31,6 +31,10 @@
     @SerialName("n") val nonce: String? = null,
     @SerialName("x") val final: Final? = null,
     @SerialName("c") val tasks: Int = 0,
+    /** In how many keys of their own ([Keys.awaits]) the jobs that this one awaits stand; null: they stand in [spec]. */
+    @SerialName("w") val awaitKeys: Int? = null,
+    /** When it became final, by the time of day of the controller that wrote so. */
+    @SerialName("e") val endedMs: Long? = null,
 ) {
     /** The part whose owner says that the job is done. */
     val homeZone: String? get() = spans.firstOrNull()?.zone
@@ -110,9 +114,23 @@
 @Serializable
 data class MachinesRecord(@SerialName("m") val types: Map<String, String> = emptyMap())
 
+/** Some of the jobs that a job awaits, by what follows "j-", with spaces between: a long list needs more than one key. */
+@Serializable
+data class AwaitsRecord(@SerialName("i") val ids: String) {
+    val jobs: List<String> get() = ids.split(' ').map { "j-$it" }
+
+    companion object {
+        fun of(jobs: List<String>) = AwaitsRecord(jobs.joinToString(" ") { it.removePrefix("j-") })
+    }
+}
+
 /** Completed tasks of many jobs, as [TaskBits]; the names are those of [TaskBits.name]. */
 @Serializable
-data class DoneRecord(@SerialName("d") val bits: Map<String, String> = emptyMap())
+data class DoneRecord(
+    @SerialName("d") val bits: Map<String, String> = emptyMap(),
+    /** The same in smaller chunks, for jobs of so many tasks that a chunk of the usual size would not fit a value. */
+    @SerialName("f") val fine: Map<String, String>? = null,
+)
 
 fun <T> encodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: T): JsonElement =
     WireJson.encodeToJsonElement(serializer, value)
@@ -120,24 +138,29 @@
 fun <T> decodeRecord(serializer: kotlinx.serialization.KSerializer<T>, value: JsonElement): T =
     WireJson.decodeFromJsonElement(serializer, value)
 
-/** Sets of tasks are kept as base64 of their bits, [CHUNK] tasks under one name. */
+/** Sets of tasks are kept as base64 of their bits, [CHUNK] tasks under one name, or [FINE_CHUNK] in large jobs. */
 object TaskBits {
     const val CHUNK = 16_384
 
+    /** A chunk of a job with more tasks than this takes 700 bytes. */
+    const val FINE_CHUNK = 4_096
+
+    fun chunkOf(tasks: Int): Int = if (tasks > FINE_CHUNK) FINE_CHUNK else CHUNK
+
     fun name(job: String, chunk: Int): String = if (chunk == 0) job else "$job.$chunk"
 
     fun job(name: String): String = name.substringBefore('.')
 
     fun chunk(name: String): Int = name.substringAfter('.', "0").toInt()
 
-    fun encode(bits: BitSet, chunk: Int): String =
-        Base64.getEncoder().withoutPadding().encodeToString(bits.get(chunk * CHUNK, (chunk + 1) * CHUNK).toByteArray())
+    fun encode(bits: BitSet, chunk: Int, size: Int = CHUNK): String =
+        Base64.getEncoder().withoutPadding().encodeToString(bits.get(chunk * size, (chunk + 1) * size).toByteArray())
 
-    fun decodeInto(text: String, chunk: Int, into: BitSet) {
+    fun decodeInto(text: String, chunk: Int, into: BitSet, size: Int = CHUNK) {
         val bits = BitSet.valueOf(Base64.getDecoder().decode(text))
         var next = bits.nextSetBit(0)
         while (next >= 0) {
-            into.set(chunk * CHUNK + next)
+            into.set(chunk * size + next)
             next = bits.nextSetBit(next + 1)
         }
     }
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -77,7 +77,7 @@
             is Reply.Answer -> when (reply.status) {
                 200 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Applied(it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
                 409 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Conflict(it.failed, it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
-                400, 429, 503 -> TxnOutcome.Refused(reply.status)
+                400, 429, 503 -> TxnOutcome.Refused(reply.status).also { if (reply.status == 429) budget.refused() }
                 else -> TxnOutcome.Unknown("status ${reply.status}")
             }
         }
--- a/src/main/kotlin/io/otterknot/wire/Jobs.kt
+++ b/src/main/kotlin/io/otterknot/wire/Jobs.kt
@@ -45,6 +45,8 @@
     @SerialName("CacheS") val checkpointS: Double = 0.0,
     @SerialName("StashS") val saveS: Double = 0.0,
     @SerialName("DueS") val dueS: Double? = null,
+    /** Jobs that must be done before any task of this one starts; each once. */
+    @SerialName("Awaits") val awaits: List<String>? = null,
 ) {
     /** With `Scatter`, the most tasks that may be in one zone at a time. */
     val perZoneLimit: Int get() = if (spread) (tasks + 1) / 2 else tasks
@@ -90,6 +92,7 @@
         checkpointS = fields.amount("CacheS"),
         saveS = fields.amount("StashS"),
         dueS = fields.optionalAmount("DueS"),
+        awaits = fields.names("Awaits")?.distinct()?.onEach { if (!isJobId(it)) throw Malformed("Awaits names $it, which is not of the form j-000412") }?.ifEmpty { null },
     )
 }
 
--- a/src/test/kotlin/io/otterknot/StateStandIn.kt
+++ b/src/test/kotlin/io/otterknot/StateStandIn.kt
@@ -44,6 +44,31 @@
     /** How much longer than usual every answer takes. */
     var slowMs = 0L
 
+    /** The most bytes of a value, and changes of a transaction: more gets 400. */
+    var maxValueBytes = Int.MAX_VALUE
+    var maxOps = Int.MAX_VALUE
+
+    /** The most changes a second: more gets 429. */
+    var maxWritesPerS = Double.MAX_VALUE
+    private var writes = 0.0
+    private var writesMs = 0L
+
+    /** What was refused for its size. */
+    val tooLarge = ArrayList<String>()
+
+    private fun refusal(txn: Txn): Reply? {
+        val large = txn.changes.filter { it.value.toString().length > maxValueBytes }.map { it.key }
+        if (large.isNotEmpty() || txn.changes.size > maxOps) {
+            tooLarge.add("${txn.changes.size} changes, too large: $large")
+            return answer(400, """{"error":"too large"}""")
+        }
+        writes = maxOf(0.0, writes - (nowMs() - writesMs) * maxWritesPerS / 1000)
+        writesMs = nowMs()
+        if (writes + txn.changes.size > maxWritesPerS) return answer(429, """{"error":"too many"}""")
+        writes += txn.changes.size
+        return null
+    }
+
     fun outage(on: Boolean) {
         away = on
         // After an outage every lease has its full time again.
@@ -52,6 +77,9 @@
 
     fun value(key: String): JsonElement? = data[key]?.value
 
+    /** Everything that is stored, by key. */
+    fun contents(): Map<String, JsonElement> = data.mapValues { it.value.value }
+
     fun link(node: String) = Transport { method, target, body, timeoutMs ->
         delay(2 + random.nextLong(6) + if (target.startsWith("/watch")) 0 else slowMs)
         serve(node, method, target, body, timeoutMs)
@@ -65,6 +93,7 @@
         return when {
             path == "/txn" -> {
                 val txn = WireJson.decodeFromString(Txn.serializer(), body!!.decodeToString())
+                refusal(txn)?.let { return it }
                 if (lateWrites > 0 && random.nextDouble() < lateWrites) {
                     scope.launch {
                         delay(2_000 + random.nextLong(10_000))
