--- a/src/test/kotlin/io/otterknot/OddRequestTest.kt
+++ b/src/test/kotlin/io/otterknot/OddRequestTest.kt
@@ -118,4 +118,34 @@
             assertTrue(answer.status == 503 && answer.retryAfterS != null, "$method $path: ${answer.status}")
         }
     }
+
+    /** What it answers to a job that awaits others, before anything is known to have changed. */
+    @Test
+    fun `a job may await only what was accepted, and is cancelled with what it awaits`() = onCluster {
+        suspend fun submit(id: Int, vararg awaits: String) = send("POST", "/submissions", body(expect(spec(id, 1, 30.0).copy(awaits = awaits.toList()))))
+        assertEquals(201, submit(701).status)
+        for (unknown in listOf("j-000799", "j-000702", "j-701")) {
+            val answer = submit(702, "j-000701", unknown)
+            assertTrue(answer.status == 422 && unknown in answer.why(), answer.why())
+            assertEquals(404, send("GET", "/submissions/j-000702").status)
+        }
+        assertEquals(201 to "queued", submit(702, "j-000701").let { it.status to it.state() })
+        assertEquals(200 to "queued", submit(702, "j-000799").let { it.status to it.state() }, "what is known is answered before that is looked at")
+        assertEquals(201 to "queued", submit(703, "j-000702", "j-000701").let { it.status to it.state() })
+        delay(5_000)
+        assertEquals(1, starts)
+        assertEquals("aborted", send("POST", "/submissions/j-000701/withdraw").state())
+        for (id in listOf(702, 703)) {
+            assertEquals("aborted", send("GET", "/submissions/j-000$id").state())
+            assertEquals("aborted", send("POST", "/submissions/j-000$id/withdraw").state())
+            assertEquals(200 to "aborted", submit(id).let { it.status to it.state() })
+        }
+        assertEquals(201 to "aborted", submit(704, "j-000703").let { it.status to it.state() }, "it is accepted all the same")
+        delay(10_000)
+        assertTrue(listOf(702, 703, 704).all { "\"x\":\"a\"" in state.value("o/j/j-000$it").toString() }, "and their final states are written")
+        assertEquals(1, starts)
+        state.outage(true)
+        delay(3_000)
+        assertTrue(submit(705, "j-000701").let { it.status == 503 && it.retryAfterS != null })
+    }
 }
