--- a/src/main/kotlin/io/otterknot/state/Pipelines.kt
+++ b/src/main/kotlin/io/otterknot/state/Pipelines.kt
@@ -35,7 +35,16 @@
     /** [changed] has come or become final; the others of which something else holds now. */
     fun changed(changed: Job): List<Job> {
         val touched = LinkedHashSet<Job>()
-        if (changed.live) arrange(changed, touched) else pieces.remove(changed.id)
+        if (changed.live) {
+            arrange(changed)
+            if (changed.outcome == null) {
+                // Jobs that need it may have been read before it.
+                owe(changed)
+                lend(changed, touched)
+            }
+        } else {
+            pieces.remove(changed.id)
+        }
         if (changed.outcome != null) {
             followOn(changed, touched)
             stopLending(changed, touched)
@@ -52,7 +61,7 @@
     }
 
     /** Notes what a live job awaits, once all of it has been read. */
-    private fun arrange(waiting: Job, touched: MutableSet<Job>) {
+    private fun arrange(waiting: Job) {
         if (waiting.needs.ids.isNotEmpty()) return
         val keys = waiting.record?.awaitKeys
         val ids = if (keys == null) {
@@ -67,10 +76,7 @@
             pieces.remove(waiting.id)
             read.values.flatten()
         }
-        val lent = waiting.needs
         val needs = Needs(ids.toSet())
-        needs.lentPriority = lent.lentPriority
-        needs.lentDueMs = lent.lentDueMs
         waiting.needs = needs
         for (id in needs.ids) {
             val awaited = job(id)
@@ -80,7 +86,6 @@
                 null -> waiters.getOrPut(id) { ArrayList() }.add(waiting)
             }
         }
-        if (!needs.orphaned) lend(waiting, touched)
     }
 
     private fun met(needs: Needs, awaited: Job) {
@@ -118,9 +123,12 @@
     }
 
     /** Reckons anew what the jobs before [from] owe, since it needs them no more. */
-    private fun stopLending(from: Job, touched: MutableSet<Job>) = walkBack(from, touched) { awaited, _ ->
+    private fun stopLending(from: Job, touched: MutableSet<Job>) = walkBack(from, touched) { awaited, _ -> owe(awaited) }
+
+    /** What [awaited] owes to all that need it; whether that is another than before. */
+    private fun owe(awaited: Job): Boolean {
         val others = waiters[awaited.id].orEmpty().filter { it.outcome == null }
-        set(awaited.needs, others.mapNotNull(::urgency).minOrNull(), others.mapNotNull(::beforeMs).minOrNull())
+        return set(awaited.needs, others.mapNotNull(::urgency).minOrNull(), others.mapNotNull(::beforeMs).minOrNull())
     }
 
     private fun set(needs: Needs, priority: Priority?, dueMs: Long?): Boolean {
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -82,6 +82,12 @@
             order.forEach { take(it, records.getValue(it)) }
             assertEquals(listOf(Final.CANCELLED, Final.DONE, Final.CANCELLED, Final.CANCELLED), (1..4).map { read[id(it)]!!.outcome })
             assertTrue(!read[id(3)]!!.ready && !read[id(4)]!!.ready)
+            val lending = JobTable()
+            for (number in order) {
+                val spec = spec(number, listOfNotNull((number - 1).takeIf { it > 0 }), if (number == 4) Priority.HIGH else Priority.BEST_EFFORT, if (number == 4) 90.0 else null)
+                lending.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), JobRecord(spec)), 1))
+            }
+            assertEquals(List(3) { Priority.HIGH to 90_000L - 14_000 * (3 - it) }, (1..3).map { lending[id(it)]!!.needs.let { needs -> needs.lentPriority to needs.lentDueMs } })
         }
     }
 
