--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -52,7 +52,7 @@
 
 /** Three controllers, their workers, cloud and state service, on virtual time; it watches every rule as it goes. */
 class ClusterStandIn(
-    val scope: CoroutineScope, seed: Long, private val nowMs: () -> Long, teamLimit: Double = 0.0,
+    val scope: CoroutineScope, seed: Long, val nowMs: () -> Long, teamLimit: Double = 0.0,
     /** How many machines of each kind a zone has. */
     private val capacity: Int = 4,
 ) {
--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -39,6 +39,20 @@
             }
         }
 
+        /** The latest that a fence can end: just before everything is lost, the owner was told that all is well. */
+        private fun gapAfterRenewal() = Case("the same right after a renewal, so that the owner may act for as long as it ever may", seeds = 3, mixture = false) {
+            longWork()
+            while (nowMs() - (state.renewedMs["holt-a"] ?: 0) > 20) delay(5)
+            delay(400)
+            state.refusedFor = "holt-a"
+            cancelNow(8)
+            delay(350)
+            state.outage(true)
+            delay(54_000)
+            state.refusedFor = null
+            state.outage(false)
+        }
+
         private fun atLimit() = listOf(200L, 1_500L, 4_000L).map { apart ->
             Case("a team at its limit, its leader ends, machines can't be asked, and a job is called off $apart ms before", teamLimit = 16.0, seeds = 2, mixture = false) {
                 for (id in 202..216 step 2) user(spec(id, 3, 30.0))
@@ -70,7 +84,7 @@
         }
 
         @JvmStatic
-        fun cases() = gaps() + atLimit() + isolated() + listOf(
+        fun cases() = gaps() + gapAfterRenewal() + atLimit() + isolated() + listOf(
             Case("a node's watch stands still while all else that it asks is answered, and jobs are called off", seeds = 2, mixture = false) {
                 // By its renewals alone it would go on answering its workers, and never learn of what was called off.
                 longWork()
--- a/src/test/kotlin/io/otterknot/StateStandIn.kt
+++ b/src/test/kotlin/io/otterknot/StateStandIn.kt
@@ -77,6 +77,9 @@
 
     fun value(key: String): JsonElement? = data[key]?.value
 
+    /** When each node last renewed a lease. */
+    val renewedMs = HashMap<String, Long>()
+
     /** Everything that is stored, by key. */
     fun contents(): Map<String, JsonElement> = data.mapValues { it.value.value }
 
@@ -123,6 +126,7 @@
             path.startsWith("/holds/") -> {
                 val lease = leases[path.removePrefix("/holds/").removeSuffix("/extend").toLong()] ?: return answer(404, "{}")
                 lease.endsMs = nowMs() + lease.ttlMs
+                renewedMs[node] = nowMs()
                 answer(200, "{}")
             }
             path == "/watch" -> watch(node, query.getValue("Under"), query.getValue("After").toLong(), query.getValue("WaitMs").toLong())
