--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -67,7 +67,9 @@
             // Only what was accepted may be awaited; another node may have accepted it a moment ago.
             if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
             jobs[spec.id]?.let { return tell(it, 200) }
-            awaits.firstOrNull { jobs[it] == null }?.let { return refuse(id, 422, "Awaits names $it, which was never accepted") }
+            awaits.firstOrNull {
+                jobs[it] == null
+            }?.let { return refuse(id, 422, "Awaits names $it, which was never accepted") }
         }
         val record = JobRecord(
             spec = spec,
@@ -77,16 +79,35 @@
             nonce = random.nextLong().toULong().toString(36),
         )
         val key = Keys.job(spec.id)
-        val changes = JobChanges.accept(key, record, limits) ?: return refuse(id, 400, "the description is too long, or Awaits names too many jobs")
+        val changes =
+            JobChanges.accept(key, record, limits)
+                ?: return refuse(id, 400, "the description is too long, or Awaits names too many jobs")
         if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
         return when (val outcome = client.txn(changes.map { Guard(it.key, 0) }, changes)) {
             is TxnOutcome.Applied -> accepted(spec)
+
             is TxnOutcome.Conflict ->
-                if (replica.reach(outcome.revision, REACH_MS)) current(spec.id, 200) else later("the job is known; its state is being read")
+                if (replica.reach(
+                        outcome.revision,
+                        REACH_MS,
+                    )
+                ) {
+                    current(spec.id, 200)
+                } else {
+                    later("the job is known; its state is being read")
+                }
+
             is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
+
             is TxnOutcome.Unknown -> {
                 // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
-                if (replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce) accepted(spec) else later("the state service did not answer")
+                if (replica.upToDate(REACH_MS) &&
+                    jobs[spec.id]?.record?.nonce == record.nonce
+                ) {
+                    accepted(spec)
+                } else {
+                    later("the state service did not answer")
+                }
             }
         }
     }
@@ -113,9 +134,23 @@
                     log.info("{} is cancelled", id)
                     return status(JobStatus(id, "aborted"), 200)
                 }
-                is TxnOutcome.Conflict -> if (!replica.reach(outcome.revision, REACH_MS)) return later("the state service is slow")
+
+                is TxnOutcome.Conflict -> if (!replica.reach(
+                        outcome.revision,
+                        REACH_MS,
+                    )
+                ) {
+                    return later("the state service is slow")
+                }
+
                 is TxnOutcome.Refused -> return later("the state service does not take changes at the moment")
-                is TxnOutcome.Unknown -> if (!replica.upToDate(REACH_MS)) return later("the state service did not answer")
+
+                is TxnOutcome.Unknown -> if (!replica.upToDate(
+                        REACH_MS,
+                    )
+                ) {
+                    return later("the state service did not answer")
+                }
             }
         }
         return later("the job is changing")
@@ -131,7 +166,9 @@
 
     private fun tell(job: Job, code: Int): HttpResponse = when (job.outcome) {
         Final.DONE -> status(JobStatus(job.id, "done", job.record?.tasks, 0), code)
+
         Final.CANCELLED -> status(JobStatus(job.id, "aborted"), code)
+
         null -> {
             val done = job.done.cardinality()
             val running = parts.values.sumOf { it.runningTasks(job.id) }
@@ -150,7 +187,7 @@
 
     private fun impossible(spec: JobSpec, offered: List<MachineType>): String? {
         val team = teams.firstOrNull { it.name == spec.team } ?: return "unknown team ${spec.team}"
-        if (team.cpusMax > 0 && spec.cores > team.cpusMax || team.gpusMax > 0 && spec.cards > team.gpusMax) {
+        if ((team.cpusMax > 0 && spec.cores > team.cpusMax) || (team.gpusMax > 0 && spec.cards > team.gpusMax)) {
             return "one task needs more than the limit of team ${spec.team}"
         }
         val fits = offered.any {
--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/cli/Controller.kt
@@ -49,13 +49,13 @@
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.MachineTypes
 import io.otterknot.workers.ReportDoor
-import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
+import kotlin.random.Random
 
 /** How a controller reaches the others and the services; tests give stand-ins. */
 class Links(val state: Transport, val watch: Transport, val cloud: Transport, val peers: Map<String, PeerTransport>)
@@ -73,7 +73,10 @@
     private val nodes = maxOf(facts.nodes, settings.members.size + 1)
     private val zones = facts.zones
     private val budget = RateBudget(
-        facts.state.rps, facts.state.writeRps, nowMs, { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) },
+        facts.state.rps,
+        facts.state.writeRps,
+        nowMs,
+        { RateBudget.Share(share(EVEN_REQUESTS), share(EVEN_CHANGES)) },
         RateBudget.Limits(facts.state.leastRps, facts.state.leastWriteRps),
     )
     private val figures = Figures(nowMs)
@@ -83,7 +86,8 @@
     private val state = StateClient(stateLink, StateLink(links.watch, contact, relays), budget, figures)
 
     // A tenth of this node's requests goes to reopened watches at most every so often.
-    private val replica = Replica(state, random, nowMs, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
+    private val replica =
+        Replica(state, random, nowMs, pauseMs = (3_500.0 * nodes / facts.state.rps).toLong().coerceIn(120, 250))
     private val jobs = JobTable()
 
     /** Nothing larger is written, now or once the limits are lowered. */
@@ -107,7 +111,9 @@
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
     private val aims = Aims(
-        facts.objectives.filter { it.jobKind != null }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
+        facts.objectives.filter {
+            it.jobKind != null
+        }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
     )
     private val fleet: Fleet = Fleet(
         cloud, ownership, parts,
@@ -117,7 +123,11 @@
     private val views = zones.associateWith { PartView(it) }
     private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.leastTxnOps, MAX_BATCH))
     private val keeper = Keeper(
-        state, replica, jobs, parts, ownership, writer, budget, minOf((facts.state.leastValueKb * 1024 * RECORD_SHARE).toInt(), MAX_RECORD_BYTES),
+        state, replica, jobs, parts, ownership, writer, budget,
+        minOf(
+            (facts.state.leastValueKb * 1024 * RECORD_SHARE).toInt(),
+            MAX_RECORD_BYTES,
+        ),
         facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, facts.state.leastTxnOps, nowMs, wallMs,
     )
     private val users = UserApi(
@@ -190,7 +200,11 @@
 
     suspend fun peer(message: PeerMessage): PeerMessage {
         if (message is PeerMessage.Carry) return carry(message)
-        if (message is PeerMessage.Yield && parts[message.zone]?.mayYield(nowMs()) == true) ownership.yieldTo(message.zone, message.owned)
+        if (message is PeerMessage.Yield &&
+            parts[message.zone]?.mayYield(nowMs()) == true
+        ) {
+            ownership.yieldTo(message.zone, message.owned)
+        }
         return idleParts.take(message, nowMs())
     }
 
@@ -205,8 +219,24 @@
 
     /** Asks the state service for another controller, which has taken the request out of its own share. */
     private suspend fun carry(message: PeerMessage.Carry): PeerMessage {
-        val reply = if (contact.sound) links.state.call(message.method, message.target, message.body, message.timeoutMs.toLong()) else null
-        return if (reply is Reply.Answer) PeerMessage.Carried(reply.status, reply.body) else PeerMessage.Carried(0, ByteArray(0))
+        val reply = if (contact.sound) {
+            links.state.call(
+                message.method,
+                message.target,
+                message.body,
+                message.timeoutMs.toLong(),
+            )
+        } else {
+            null
+        }
+        return if (reply is Reply.Answer) {
+            PeerMessage.Carried(
+                reply.status,
+                reply.body,
+            )
+        } else {
+            PeerMessage.Carried(0, ByteArray(0))
+        }
     }
 
     /**
@@ -223,12 +253,19 @@
         val path = request.path
         return when {
             path == "/v1/report" -> method(request, "POST") { door.handle(request.body) }
+
             path == "/ready" -> method(request, "GET") { users.ready() }
+
             path == "/submissions" -> method(request, "POST") { users.submit(request.body) }
+
             path.startsWith(JOB_PATH) && path.endsWith(WITHDRAW) && path.length > JOB_PATH.length + WITHDRAW.length ->
-                method(request, "POST") { users.withdraw(path.substring(JOB_PATH.length, path.length - WITHDRAW.length)) }
+                method(request, "POST") {
+                    users.withdraw(path.substring(JOB_PATH.length, path.length - WITHDRAW.length))
+                }
+
             path.startsWith(JOB_PATH) && path.indexOf('/', JOB_PATH.length) < 0 ->
                 method(request, "GET") { users.poll(path.substring(JOB_PATH.length)) }
+
             else -> HttpResponse.refusal(404, "no such path")
         }
     }
@@ -242,20 +279,39 @@
                 val changed = jobs.changeJob(key, entry)
                 parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
             }
+
             key.startsWith(Keys.AWAITS) -> {
                 val changed = jobs.changeAwaits(key, entry)
                 parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
             }
-            key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) parts.values.forEach { it.updateDone(job) }
+
+            key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) {
+                parts.values.forEach {
+                    it.updateDone(job)
+                }
+            }
+
             key.startsWith(Keys.MACHINES) -> {
                 val zone = key.substring(Keys.MACHINES.length).substringBefore('/')
                 registered.remove(zone)
                 parts[zone]?.registeredNow(registered(zone).keys)
             }
+
             key.startsWith(Keys.PARTS) -> ownership.partChanged(key.substring(Keys.PARTS.length), entry?.version)
-            key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(key.substring(Keys.OVERRIDES.length), entry != null)
-            key == Keys.TYPES -> if (entry != null) fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
+
+            key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(
+                key.substring(Keys.OVERRIDES.length),
+                entry != null,
+            )
+
+            key == Keys.TYPES -> if (entry !=
+                null
+            ) {
+                fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
+            }
+
             key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
+
             key.startsWith(Keys.MEANS) -> {
                 val view = views[key.substring(Keys.MEANS.length)] ?: return
                 val mean = if (entry == null) MeanRecord(0.0) else decodeRecord(MeanRecord.serializer(), entry.value)
@@ -279,7 +335,10 @@
         if (value.toString().length > maxValueBytes) return
         budget.take(1)
         // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
-        val outcome = state.txn(listOf(Guard(Keys.TYPES, entry?.version ?: 0)), listOf(Change(put = Keys.TYPES, value = value)))
+        val outcome = state.txn(
+            listOf(Guard(Keys.TYPES, entry?.version ?: 0)),
+            listOf(Change(put = Keys.TYPES, value = value)),
+        )
         log.debug("machine types written: {}", outcome)
     }
 
@@ -293,7 +352,19 @@
             if (ownership.claimed(zone) != token) continue
             val registered = registered(zone)
             val now = nowMs()
-            val part = Part(zone, token, now, ownership.othersUntilMs(zone, claim.overriding), PartTimes(leaseMs), random, aims, { wallMs() - nowMs() + it }, fleet::type, teamShares(zone), registered)
+            val part =
+                Part(
+                    zone, token, now,
+                    ownership.othersUntilMs(
+                        zone,
+                        claim.overriding,
+                    ),
+                    PartTimes(leaseMs), random, aims, {
+                        wallMs() -
+                            nowMs() +
+                            it
+                    }, fleet::type, teamShares(zone), registered,
+                )
             jobs.live.values.forEach { part.updateJob(it, inherited = true) }
             parts[zone] = part
             log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
--- a/src/main/kotlin/io/otterknot/cli/Keeper.kt
+++ b/src/main/kotlin/io/otterknot/cli/Keeper.kt
@@ -60,11 +60,17 @@
     }
 
     /** The most pressing first: a batch may not take all. */
-    private fun wishes(part: Part): List<Wish> = machines(part) + completions(part) + listOfNotNull(override(part), mean(part))
+    private fun wishes(part: Part): List<Wish> =
+        machines(part) + completions(part) + listOfNotNull(override(part), mean(part))
 
     /** That an earlier owner may still act is of no interest any more once it surely does not. */
-    private fun override(part: Part): Wish? =
-        if (replica[Keys.override(part.zone)] != null && nowMs() > part.othersUntilMs) Wish(Keys.override(part.zone), null) else null
+    private fun override(part: Part): Wish? = if (replica[Keys.override(part.zone)] != null &&
+        nowMs() > part.othersUntilMs
+    ) {
+        Wish(Keys.override(part.zone), null)
+    } else {
+        null
+    }
 
     // ---- machines
 
@@ -72,7 +78,15 @@
         val fresh = part.unregistered()
         if (fresh.isEmpty() && part.retired.isEmpty()) return emptyList()
         val room = maxBytes / MACHINE_BYTES
-        val changed = Segments.spread(replica.machineSegments(part.zone), part.retired, fresh.associate { it.id to it.type.name }, room)
+        val changed = Segments.spread(
+            replica.machineSegments(part.zone),
+            part.retired,
+            fresh.associate {
+                it.id to
+                    it.type.name
+            },
+            room,
+        )
         return changed.map { (segment, types) ->
             val value = if (types.isEmpty()) null else encodeRecord(MachinesRecord.serializer(), MachinesRecord(types))
             Wish(Keys.machines(part.zone, segment), value)
@@ -92,9 +106,16 @@
         val fresh = LinkedHashMap<String, PartJob>()
         for (held in part.jobs) {
             if (held.fresh.isEmpty) continue
-            for (chunk in 0..(held.fresh.length() - 1) / TaskBits.chunkOf(held.spec.tasks)) fresh[TaskBits.name(held.id, chunk)] = held
+            for (chunk in 0..(held.fresh.length() - 1) / TaskBits.chunkOf(held.spec.tasks)) {
+                fresh[TaskBits.name(held.id, chunk)] =
+                    held
+            }
         }
-        var number = segments.keys.filter { it.startsWith("$prefix${part.token}-") }.maxOfOrNull { it.substringAfterLast('-').toInt() } ?: 0
+        var number =
+            segments.keys.filter {
+                it.startsWith("$prefix${part.token}-")
+            }.maxOfOrNull { it.substringAfterLast('-').toInt() }
+                ?: 0
         fun key() = Keys.done(part.zone, "${part.token}-$number")
         val open = key()
         if (fresh.isNotEmpty()) {
@@ -130,10 +151,15 @@
 
         fun of(chunkSize: Int): MutableMap<String, String> = if (chunkSize == TaskBits.CHUNK) bits else fine
 
-        /** Whether it may hold [text] under [name] besides, or holds nothing yet; one that is too large already takes no more. */
+        /**
+         * Whether it may hold [text] under [name] besides, or holds nothing yet; one that is too large already takes no
+         * more.
+         */
         fun fits(name: String, text: String, chunkSize: Int): Boolean {
-            val others = listOf(bits, fine).sumOf { said -> said.entries.sumOf { size(it.key, it.value) } } - (of(chunkSize)[name]?.let { size(name, it) } ?: 0)
-            return bits.isEmpty() && fine.isEmpty() || others + size(name, text) <= maxBytes
+            val others =
+                listOf(bits, fine).sumOf { said -> said.entries.sumOf { size(it.key, it.value) } } -
+                    (of(chunkSize)[name]?.let { size(name, it) } ?: 0)
+            return (bits.isEmpty() && fine.isEmpty()) || others + size(name, text) <= maxBytes
         }
 
         fun value() = encodeRecord(DoneRecord.serializer(), DoneRecord(bits, fine.ifEmpty { null }))
@@ -152,24 +178,43 @@
         val mean = round(part.mean())
         val ordinary = round(part.ordinaryMean())
         val needs = teams.associateWith { part.need(it) }.filterValues { it.cores > 0 || it.cards > 0 }
-        if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP && told.needs == needs) return null
+        if (told != null && abs(told.mean - mean) < MEAN_STEP && abs(told.ordinaryMean - ordinary) < MEAN_STEP &&
+            told.needs == needs
+        ) {
+            return null
+        }
         meanSentMs[part.zone] = now
-        return Wish(key, encodeRecord(MeanRecord.serializer(), MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores, needs)))
+        return Wish(
+            key,
+            encodeRecord(
+                MeanRecord.serializer(),
+                MeanRecord(mean, part.totalCores, ordinary, part.ordinaryCores, needs),
+            ),
+        )
     }
 
     // ---- finished jobs
 
     /**
-     * The owner of a job's home part makes it final once the completions of all its tasks are durable, or once a job that it
-     * awaits is cancelled; users are told of the latter without waiting for it.
+     * The owner of a job's home part makes it final once the completions of all its tasks are durable, or once a job
+     * that it awaits is cancelled; users are told of the latter without waiting for it.
      */
     private suspend fun finishJobs() {
-        val over = jobs.live.values.filter { job -> (job.complete || job.needs.orphaned) && job.record?.homeZone?.let(ownership::claimed) != null }
+        val over = jobs.live.values.filter { job ->
+            (job.complete || job.needs.orphaned) &&
+                job.record?.homeZone?.let(ownership::claimed) != null
+        }
         for ((home, ended) in over.groupBy { it.record?.homeZone.orEmpty() }) {
             for (batch in ended.chunked(minOf(budget.most, txnOps, BATCH))) {
                 // What brings keys of its own to remove is ended by itself.
                 val (large, small) = batch.partition { (it.record?.awaitKeys ?: 0) > 0 }
-                for (group in large.map(::listOf) + listOf(small)) if (group.isNotEmpty() && !finish(home, group)) return
+                for (group in large.map(::listOf) + listOf(small)) {
+                    if (group.isNotEmpty() &&
+                        !finish(home, group)
+                    ) {
+                        return
+                    }
+                }
             }
         }
     }
@@ -177,15 +222,19 @@
     private suspend fun finish(home: String, batch: List<Job>): Boolean {
         val owner = ownership.guard(home) ?: return true
         val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
-        val changes = batch.flatMap { JobChanges.end(it, if (it.needs.orphaned) Final.CANCELLED else Final.DONE, wallMs()) }
+        val changes = batch.flatMap {
+            JobChanges.end(it, if (it.needs.orphaned) Final.CANCELLED else Final.DONE, wallMs())
+        }
         budget.takeSpare(changes.size)
         return when (val outcome = client.txn(guards, changes)) {
             is TxnOutcome.Applied -> {
                 log.debug("done or cancelled: {}", batch.map { it.id })
                 replica.reach(outcome.revision, REACH_MS)
             }
+
             // Some job was cancelled or handed on meanwhile; what the replica then shows is tried again.
             is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
+
             is TxnOutcome.Refused, is TxnOutcome.Unknown -> false
         }
     }
--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -32,7 +32,9 @@
 fun main(args: Array<String>) {
     // Before the first coroutine, since it is read once only; see onLoop.
     System.setProperty(IO_PARALLELISM_PROPERTY_NAME, "1")
-    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
+    val level =
+        System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") }
+            ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
@@ -54,7 +56,9 @@
     check.addOption(configOption())
     root.addSubcommand("check", check)
     val rehearse = CommandSpec.create().name("rehearse")
-    rehearse.usageMessage().description("Loads what a controller uses and ends; the build makes its class-data archive from it.").hidden(true)
+    rehearse.usageMessage().description(
+        "Loads what a controller uses and ends; the build makes its class-data archive from it.",
+    ).hidden(true)
     root.addSubcommand("rehearse", rehearse)
     val command = CommandLine(root)
     command.executionStrategy = CommandLine.IExecutionStrategy { parsed ->
@@ -106,11 +110,13 @@
         peers = settings.members.associate { it.label to PeerClient(selector, HostPort.parse(it.label, it.endpoint)) },
     )
     val controller = Controller(settings, links, random, { System.nanoTime() / 1_000_000 }, System::currentTimeMillis)
-    val server = HttpServer(selector, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
+    val server =
+        HttpServer(selector, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
     launch { controller.run() }
     launch { PeerServer(selector, controller::peer).serve(this, HostPort.parse("peer_listen", settings.peerListen)) }
     // Hundreds of workers look for an owner after a crash. Telling each that nothing is known yet would take the little
-    // processor time that reading the state needs; a refused connection costs next to nothing and sends them on as well.
+    // processor time that reading the state needs; a refused connection costs next to nothing and sends them on as
+    // well.
     withTimeoutOrNull(LATEST_BIND_MS) { controller.loaded() }
     val bind = HostPort.parse("bind", settings.bind)
     val listening = server.bind(bind.host, bind.port)
@@ -118,7 +124,10 @@
     server.serve(this, listening)
 }
 
-internal fun serve(settings: Settings, randomSeed: Long = System.nanoTime() xor settings.label.hashCode().toLong()): Int = try {
+internal fun serve(
+    settings: Settings,
+    randomSeed: Long = System.nanoTime() xor settings.label.hashCode().toLong(),
+): Int = try {
     onLoop { selector -> serveOn(selector, settings, Random(randomSeed)) }
     OK
 } catch (e: java.io.IOException) {
@@ -127,12 +136,15 @@
 }
 
 /**
- * All decisions are taken one at a time. Ktor reads and writes sockets on [Dispatchers.IO], whatever it is told; limited to
- * one coroutine at a time it serves as the loop too, so that a request passes from socket to decision and back without
- * waking another thread: those wakings were most of what a report cost. The selector blocks on a thread of its own.
+ * All decisions are taken one at a time. Ktor reads and writes sockets on [Dispatchers.IO], whatever it is told;
+ * limited to one coroutine at a time it serves as the loop too, so that a request passes from socket to decision and
+ * back without waking another thread: those wakings were most of what a report cost. The selector blocks on a thread of
+ * its own.
  */
 internal fun <T> onLoop(work: suspend CoroutineScope.(SelectorManager) -> T): T {
-    check(System.getProperty(IO_PARALLELISM_PROPERTY_NAME) == "1") { "the loop is not limited to one coroutine at a time" }
+    check(System.getProperty(IO_PARALLELISM_PROPERTY_NAME) == "1") {
+        "the loop is not limited to one coroutine at a time"
+    }
     val selecting = Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher()
     val selector = SelectorManager(selecting)
     try {
--- a/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
+++ b/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
@@ -65,8 +65,9 @@
 rps = 100.0
 list_lag_s = 4.0
 """
-    private const val JOB = """{"Uid":"j-000001","Ilk":"c","Crew":"t","Sort":"sweep","Rank":"high","Chores":2,"Cores":1.0,"Cards":0.0,""" +
-        """"MemoryGb":1.0,"Pelt":"i","SizeGb":1.0,"Breeds":null,"Reach":null,"SamePlace":false,"Scatter":false,"Driftwood":true,""" +
+    private const val JOB = """{"Uid":"j-000001","Ilk":"c","Crew":"t","Sort":"sweep","Rank":"high","Chores":2,""" +
+        """"Cores":1.0,"Cards":0.0,"MemoryGb":1.0,"Pelt":"i","SizeGb":1.0,"Breeds":null,"Reach":null,""" +
+        """"SamePlace":false,"Scatter":false,"Driftwood":true,""" +
         """"GuessS":1.0,"CacheS":0.0,"StashS":0.0,"DueS":null}"""
 
     fun run(): Int = onLoop { selector ->
@@ -74,7 +75,10 @@
         val socket = stub.bind("127.0.0.1", 0)
         val port = (socket.localAddress as io.ktor.network.sockets.InetSocketAddress).port
         val own = java.net.ServerSocket(0).use { it.localPort }
-        val text = SETTINGS.replace("PORT", port.toString()).replace("bind = \"127.0.0.1:0\"", "bind = \"127.0.0.1:$own\"")
+        val text = SETTINGS.replace(
+            "PORT",
+            port.toString(),
+        ).replace("bind = \"127.0.0.1:0\"", "bind = \"127.0.0.1:$own\"")
         val file = Files.createTempFile("otterknot", ".toml")
         val settings = try {
             Files.writeString(file, text)
@@ -108,24 +112,39 @@
     }
 
     private fun report(round: Int) =
-        """{"Holt":"m-000001","Endpoint":"127.0.0.1:9","Breed":"g","Reach":"a","Driftwood":false,"Dive":1,"Ripple":${round + 1},"Warrant":5,""" +
-            """"WarningS":null,"Chores":[{"Chore":"j-000001/0","Try":1,"Mood":"running"},{"Chore":"j-000001/1","Try":2,"Mood":"exited","Cause":"done"}]}"""
+        """{"Holt":"m-000001","Endpoint":"127.0.0.1:9","Breed":"g","Reach":"a","Driftwood":false,""" +
+            """"Dive":1,"Ripple":${round + 1},"Warrant":5,"WarningS":null,""" +
+            """"Chores":[{"Chore":"j-000001/0","Try":1,"Mood":"running"},""" +
+            """{"Chore":"j-000001/1","Try":2,"Mood":"exited","Cause":"done"}]}"""
 
     private suspend fun answer(path: String, body: String): HttpResponse = when {
-        path == "/flavors" -> ok("""{"Breeds":[{"Name":"g","Cores":16,"Cards":0,"MemoryGb":64,"LocalGb":20,"PullGbPerS":1.0,"Rate":1.0,"SpotPrice":0.4,"ReadyS":1,"Reaches":["a"]}]}""")
+        path == "/flavors" -> ok(
+            """{"Breeds":[{"Name":"g","Cores":16,"Cards":0,"MemoryGb":64,"LocalGb":20,"PullGbPerS":1.0,""" +
+                """"Rate":1.0,"SpotPrice":0.4,"ReadyS":1,"Reaches":["a"]}]}""",
+        )
+
         path == "/machines" && body.isEmpty() -> ok("""{"Holts":[],"More":false}""")
+
         path == "/machines" -> ok("""{"Holts":["m-000001"]}""")
+
         path.startsWith("/machines") -> ok("{}")
+
         path == "/watch" -> {
             delay(100)
             ok("""{"Tide":6,"Log":[]}""")
         }
+
         path == "/txn" -> ok("""{"Tide":5}""")
+
         path.startsWith("/holds") -> ok("""{"Tenure":1}""")
+
         path == "/store" -> ok(
             """{"Pairs":[{"Key":"o/j/j-000001","V":{"s":$JOB,"a":[{"z":"a","f":0,"u":2}],"t":1},"Mark":4},""" +
-                """{"Key":"o/m/a/0","V":{"m":{"m-000001":"g"}},"Mark":4},{"Key":"o/d/a/4-0","V":{"d":{"j-000001":"AQ"}},"Mark":4},{"Key":"o/s/a","V":{"m":0.1,"c":16.0},"Mark":4}],"More":false,"Tide":5}""",
+                """{"Key":"o/m/a/0","V":{"m":{"m-000001":"g"}},"Mark":4},""" +
+                """{"Key":"o/d/a/4-0","V":{"d":{"j-000001":"AQ"}},"Mark":4},""" +
+                """{"Key":"o/s/a","V":{"m":0.1,"c":16.0},"Mark":4}],"More":false,"Tide":5}""",
         )
+
         else -> HttpResponse(404, """{"Tide":6}""".encodeToByteArray())
     }
 
--- a/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
+++ b/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
@@ -40,7 +40,9 @@
         while (true) {
             budget.take()
             val from = if (after == null) "" else "After=$after&"
-            val page = decode(MachineList.serializer(), http.call("GET", "/machines?${from}Page=500", null, CALL_MS)) ?: return null
+            val page =
+                decode(MachineList.serializer(), http.call("GET", "/machines?${from}Page=500", null, CALL_MS))
+                    ?: return null
             all.addAll(page.machines)
             if (!page.more || page.machines.isEmpty()) return all
             after = page.machines.last().id
@@ -52,10 +54,15 @@
         val body = WireJson.encodeToString(RentRequest.serializer(), request).encodeToByteArray()
         return when (val reply = http.call("POST", "/machines", body, CALL_MS)) {
             is Reply.None -> RentOutcome.Unknown
+
             is Reply.Answer -> when {
-                reply.status == 200 -> decode(MachineNames.serializer(), reply)?.let { RentOutcome.Rented(it.machines) } ?: RentOutcome.Unknown
+                reply.status == 200 -> decode(MachineNames.serializer(), reply)?.let { RentOutcome.Rented(it.machines) }
+                    ?: RentOutcome.Unknown
+
                 reply.status == 503 && "capacity" in reply.text -> RentOutcome.NoCapacity
+
                 reply.status == 400 || reply.status == 429 || reply.status == 503 -> RentOutcome.Refused
+
                 else -> RentOutcome.Unknown
             }
         }
--- a/src/main/kotlin/io/otterknot/config/Settings.kt
+++ b/src/main/kotlin/io/otterknot/config/Settings.kt
@@ -147,12 +147,18 @@
         val facts = settings.facts
         demand(facts.zones.isNotEmpty(), "facts.zones is empty")
         demand(facts.nodes >= 1, "facts.nodes is below 1")
-        demand(facts.workers.reportS > 0 && facts.workers.leaseS > 0, "facts.workers: report_s and lease_s must be above 0")
+        demand(
+            facts.workers.reportS > 0 && facts.workers.leaseS > 0,
+            "facts.workers: report_s and lease_s must be above 0",
+        )
         demand(
             facts.workers.cancelS > facts.workers.leaseS + 4,
             "facts.workers: cancel_s leaves no room for lease_s and a take-over",
         )
-        demand(facts.state.leastRps > 0 && facts.state.leastWriteRps > 0, "facts.state: rps and write_rps must be above 0, those of next too")
+        demand(
+            facts.state.leastRps > 0 && facts.state.leastWriteRps > 0,
+            "facts.state: rps and write_rps must be above 0, those of next too",
+        )
         demand(facts.state.leastTxnOps >= 4, "facts.state: txn_ops is below 4, or that of next")
         demand(facts.state.leastValueKb >= 1, "facts.state: value_kb is below 1, or that of next")
         demand(facts.cloud.rps > 0, "facts.cloud: rps must be above 0")
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -124,14 +124,24 @@
                 open.removeAll { it.request.request == request.request }
                 val cores = type(request.type)?.cores ?: 0.0
                 outcome.machines.forEach { coming[it] = Coming(request.zone, kind, cores, nowMs()) }
-                log.info("{}: rented {} of {} {}{}", request.zone, outcome.machines.size, request.count, request.type, if (request.spot) " (spot)" else "")
+                log.info(
+                    "{}: rented {} of {} {}{}",
+                    request.zone,
+                    outcome.machines.size,
+                    request.count,
+                    request.type,
+                    if (request.spot) " (spot)" else "",
+                )
                 if (outcome.machines.size < request.count) close(request.zone, kind)
             }
+
             RentOutcome.NoCapacity -> {
                 open.removeAll { it.request.request == request.request }
                 close(request.zone, kind)
             }
+
             RentOutcome.Refused -> open.removeAll { it.request.request == request.request }
+
             RentOutcome.Unknown -> if (open.none { it.request.request == request.request }) open.add(Open(request))
         }
     }
@@ -188,8 +198,15 @@
             view = view.without(machine.spot, machine.type.cores)
         }
         log.debug(
-            "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring, cores by phase {}", part.zone, whole.totalDemand,
-            whole.ordinaryDemand, whole.totalSupply, whole.ordinarySupply, part.machines.size, retiring, if (log.isDebugEnabled) part.coresByPhase() else "",
+            "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring, cores by phase {}",
+            part.zone,
+            whole.totalDemand,
+            whole.ordinaryDemand,
+            whole.totalSupply,
+            whole.ordinarySupply,
+            part.machines.size,
+            retiring,
+            if (log.isDebugEnabled) part.coresByPhase() else "",
         )
     }
 
@@ -203,7 +220,10 @@
     }
 
     private suspend fun returnIdle(part: Part) {
-        val out = part.machines.filter { it.attempts.isEmpty() && !it.silent && (it.retiring || it.draining && !it.noticed) }
+        val out = part.machines.filter {
+            it.attempts.isEmpty() && !it.silent &&
+                (it.retiring || (it.draining && !it.noticed))
+        }
         if (out.isEmpty()) return
         out.forEach { it.draining = true }
         release(out.map { it.id }, "idle or faulty")
@@ -228,7 +248,9 @@
             val listed = cloud.machines() ?: continue
             val now = nowMs()
             val useless = ArrayList<String>()
-            val silentZones = listed.filter { it.state == "running" && it.ageS > YOUNG_S }.groupBy { it.zone }.filter { (zone, machines) ->
+            val silentZones = listed.filter {
+                it.state == "running" && it.ageS > YOUNG_S
+            }.groupBy { it.zone }.filter { (zone, machines) ->
                 machines.size >= FEW && machines.count { heard(it) } * 2 < machines.size && zone in parts
             }.keys
             for (machine in listed) {
@@ -246,7 +268,9 @@
             coming.entries.removeIf { it.key !in ids && now - it.value.sinceMs > VANISHED_MS }
             // A machine that neither reports nor is listed has been taken.
             for (part in parts.values) {
-                part.machines.filter { it.silent && it.id !in ids && now - it.heardMs > VANISHED_MS }.forEach { part.dismiss(it.id) }
+                part.machines.filter {
+                    it.silent && it.id !in ids && now - it.heardMs > VANISHED_MS
+                }.forEach { part.dismiss(it.id) }
             }
             release(useless, "failed, silent or never up")
         }
@@ -255,7 +279,11 @@
     /** A machine that an earlier owner rented and that is still booting: without it, the same would be rented again. */
     private fun expect(machine: ListedMachine, now: Long) {
         val part = parts[machine.zone] ?: return
-        if (machine.state != "booting" || machine.id in gone || machine.id in coming || part.machine(machine.id) != null) return
+        if (machine.state != "booting" || machine.id in gone || machine.id in coming ||
+            part.machine(machine.id) != null
+        ) {
+            return
+        }
         val type = type(machine.type) ?: return
         if (machine.ageS > type.bootS * LIKELY_BOOT) return
         coming[machine.id] = Coming(machine.zone, Kind(machine.type, machine.spot), type.cores, now)
@@ -263,7 +291,8 @@
 
     private fun heard(machine: ListedMachine) = parts[machine.zone]?.machine(machine.id)?.silent == false
 
-    private fun cutOff(part: Part) = part.machines.size >= FEW && part.machines.count { it.silent } * 2 > part.machines.size
+    private fun cutOff(part: Part) =
+        part.machines.size >= FEW && part.machines.count { it.silent } * 2 > part.machines.size
 
     private val firstSilent = HashMap<String, Long>()
 
--- a/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
+++ b/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
@@ -15,8 +15,12 @@
     val ordinarySupply: Double,
     val totalSupply: Double,
 ) {
-    fun without(spot: Boolean, cores: Double) =
-        FleetView(ordinaryDemand, totalDemand, if (spot) ordinarySupply else ordinarySupply - cores, totalSupply - cores)
+    fun without(spot: Boolean, cores: Double) = FleetView(
+        ordinaryDemand,
+        totalDemand,
+        if (spot) ordinarySupply else ordinarySupply - cores,
+        totalSupply - cores,
+    )
 }
 
 /**
--- a/src/main/kotlin/io/otterknot/http/HttpClient.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpClient.kt
@@ -16,7 +16,8 @@
 import kotlinx.coroutines.withTimeout
 
 /** Requests to one address over a few kept connections, each carrying one request at a time. */
-class HttpClient(private val selector: SelectorManager, private val address: HostPort, private val keep: Int = 3) : Transport {
+class HttpClient(private val selector: SelectorManager, private val address: HostPort, private val keep: Int = 3) :
+    Transport {
     private class Connection(val socket: Socket) {
         val input: ByteReadChannel = socket.openReadChannel()
         val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
--- a/src/main/kotlin/io/otterknot/http/HttpServer.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpServer.kt
@@ -33,11 +33,10 @@
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
     private var open = 0
 
-    suspend fun bind(host: String, port: Int): ServerSocket =
-        aSocket(selector).tcp().bind(host, port) {
-            backlogSize = 256
-            reuseAddress = true
-        }
+    suspend fun bind(host: String, port: Int): ServerSocket = aSocket(selector).tcp().bind(host, port) {
+        backlogSize = 256
+        reuseAddress = true
+    }
 
     /** Accepts connections for as long as [scope] lives. */
     suspend fun serve(scope: CoroutineScope, server: ServerSocket) {
@@ -88,13 +87,25 @@
             val close: Boolean
             try {
                 val asksClose = request.headers["Connection"]?.toString().equals("close", ignoreCase = true)
-                val body = withTimeoutOrNull(BODY_MS) { readBody(request.headers["Content-Length"], request.headers["Transfer-Encoding"], input) }
+                val body =
+                    withTimeoutOrNull(BODY_MS) {
+                        readBody(request.headers["Content-Length"], request.headers["Transfer-Encoding"], input)
+                    }
                 response = when (body) {
                     null -> HttpResponse.refusal(400, "the body did not come", close = true)
-                    is Body.TooLarge -> HttpResponse.refusal(413, "a body may have at most $maxBody bytes", close = true)
+
+                    is Body.TooLarge -> HttpResponse.refusal(
+                        413,
+                        "a body may have at most $maxBody bytes",
+                        close = true,
+                    )
+
                     is Body.Bad -> HttpResponse.refusal(400, "bad Content-Length", close = true)
+
                     is Body.Whole ->
-                        handle(HttpRequest(request.method.value, request.uri.toString().substringBefore('?'), body.bytes))
+                        handle(
+                            HttpRequest(request.method.value, request.uri.toString().substringBefore('?'), body.bytes),
+                        )
                 }
                 close = asksClose || response.close
             } finally {
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -56,7 +56,13 @@
 
     private suspend fun consider(part: Part, team: String) {
         if (ownership.token(part.zone) != part.token || !part.settled) return
-        val (to, need) = views.values.filter { it.zone != part.zone }.firstNotNullOfOrNull { view -> view.needs[team]?.let { view.zone to it } } ?: return
+        val (to, need) = views.values.filter { it.zone != part.zone }.firstNotNullOfOrNull { view ->
+            view.needs[team]?.let {
+                view.zone to
+                    it
+            }
+        }
+            ?: return
         val spare = part.spare(team, to)
         val amount = Amount(minOf(spare.cores, need.cores), minOf(spare.cards, need.cards))
         if (amount.cores < LEAST && amount.cards < LEAST) return
@@ -71,7 +77,11 @@
         giving.add(part.zone to team)
         part.allot(team, mine - amount)
         try {
-            val change = Change(put = key, value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount)))
+            val change =
+                Change(
+                    put = key,
+                    value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount)),
+                )
             val settled = txn.settle(part, entry?.version ?: 0, change)
             log.info("{} gives {} of {} to {}: {}", part.zone, amount, team, to, settled)
         } finally {
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -49,8 +49,12 @@
             if (spec.oneZone && !held.allWaits) continue
             val cores = if (spec.spot) part.totalCores else part.ordinaryCores
             val own = if (spec.spot) part.mean() else part.ordinaryMean()
-            val target = views.values.filter { it.zone != part.zone && offers(it.zone, spec) && ownership.ownerOf(it.zone) != null }
-                .minByOrNull { it.meanFor(spec) } ?: return
+            val target =
+                views.values.filter {
+                    it.zone != part.zone && offers(it.zone, spec) &&
+                        ownership.ownerOf(it.zone) != null
+                }
+                    .minByOrNull { it.meanFor(spec) } ?: return
             val gap = own - target.meanFor(spec)
             // Nothing waits for long while another part has room, however little the means differ.
             val long = wallMs() - held.readyMs > LONG_MS && target.meanFor(spec) < ROOMY
--- a/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -31,10 +31,12 @@
             client.budget.takeSpare(1, lesser = true)
             when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
                 is TxnOutcome.Applied -> return shown(outcome.revision, part, Settled.APPLIED)
+
                 is TxnOutcome.Conflict -> {
                     if (owner.key in outcome.failed) ownership.superseded(part.zone)
                     return shown(outcome.revision, part, Settled.NOT_APPLIED)
                 }
+
                 is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(400 + random.nextLong(600))
             }
         }
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -47,13 +47,17 @@
     private val strays = Strays()
 
     /**
-     * A machine reports here and is sent to the owner of its part. It has left that owner if it was with it, and then it
-     * shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only looks for it.
+     * A machine reports here and is sent to the owner of its part. It has left that owner if it was with it, and then
+     * it shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only looks
+     * for it.
      */
     fun sentOn(zone: String, machine: String, token: Long) =
         strays.sent(zone, machine, nowMs(), machine in machines(zone) && token == replica[Keys.part(zone)]?.version)
 
-    /** Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease runs. */
+    /**
+     * Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease
+     * runs.
+     */
     fun doubtsOwner(zone: String): Boolean = longOwned(zone, nowMs()) && strays.left(zone, nowMs()) > manyLeft(zone) / 2
 
     private fun longOwned(zone: String, now: Long) = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
@@ -126,7 +130,9 @@
         }
         return when (client.renewLease(held)) {
             RenewOutcome.Renewed -> true
+
             RenewOutcome.Failed -> false
+
             RenewOutcome.Gone -> {
                 leaseEnded()
                 false
@@ -151,22 +157,42 @@
         tokens.keys.toList().forEach(::superseded)
     }
 
-    /** The store's revision at a moment when every part was owned under its token; those that are not are let go. Null: not known. */
+    /**
+     * The store's revision at a moment when every part was owned under its token; those that are not are let go. Null:
+     * not known.
+     */
     private suspend fun confirm(): Long? {
         val asked = tokens.toMap()
         if (asked.isEmpty()) return client.revisionAtOnce()
         client.budget.takeAtOnce()
-        return when (val outcome = client.txn(asked.map { (zone, token) -> Guard(Keys.part(zone), token) }, emptyList())) {
+        return when (
+            val outcome = client.txn(
+                asked.map { (zone, token) ->
+                    Guard(Keys.part(zone), token)
+                },
+                emptyList(),
+            )
+        ) {
             is TxnOutcome.Applied -> outcome.revision
+
             is TxnOutcome.Conflict -> {
-                for ((zone, token) in asked) if (Keys.part(zone) in outcome.failed && tokens[zone] == token) superseded(zone)
+                for ((zone, token) in asked) {
+                    if (Keys.part(zone) in outcome.failed &&
+                        tokens[zone] == token
+                    ) {
+                        superseded(zone)
+                    }
+                }
                 null
             }
+
             is TxnOutcome.Refused, is TxnOutcome.Unknown -> null
         }
     }
 
-    /** The replica shows a change of a part's key, before any later change: what is written from then on is not ours. */
+    /**
+     * The replica shows a change of a part's key, before any later change: what is written from then on is not ours.
+     */
     fun partChanged(zone: String, version: Long?) {
         straySince.remove(zone)
         strays.forget(zone)
@@ -198,10 +224,15 @@
         val owners = zones.mapNotNull { zone -> ownerOf(zone)?.let { zone to it } }
         val busy = owners.groupBy({ it.second }, { it.first }).filter { it.value.size >= TOO_MANY }
         val mine = busy.entries.flatMap { (owner, owned) -> owned.map { it to owner } }
-        return mine.minByOrNull { (zone, _) -> claimRank(zone, zones, label, domains) }?.also { (zone, _) -> askedMs[zone] = nowMs() }
+        return mine.minByOrNull { (zone, _) -> claimRank(zone, zones, label, domains) }?.also { (zone, _) ->
+            askedMs[zone] =
+                nowMs()
+        }
     }
 
-    /** Parts that this node has asked for; should one be given up, it need not wait for nodes that come first otherwise. */
+    /**
+     * Parts that this node has asked for; should one be given up, it need not wait for nodes that come first otherwise.
+     */
     private val askedMs = HashMap<String, Long>()
 
     val owned: Int get() = tokens.size
@@ -221,7 +252,8 @@
         val own = tokens[zone]
         if (own != null) {
             // The replica may lag behind the claim; only a newer key, or none after it, takes the part away.
-            if (entry != null && entry.version > own || entry == null && replica.revision >= own) superseded(zone)
+            val lost = if (entry != null) entry.version > own else replica.revision >= own
+            if (lost) superseded(zone)
             return
         }
         val now = nowMs()
@@ -246,7 +278,10 @@
         val record = encodeRecord(PartRecord.serializer(), PartRecord(label, incarnation))
         client.budget.take(if (overriding) 2 else 1)
         val claim = Change(put = key, value = record, lease = held)
-        val outcome = client.txn(listOf(Guard(key, entry?.version ?: 0)), if (overriding) listOf(claim, overrideMark(zone)) else listOf(claim))
+        val outcome = client.txn(
+            listOf(Guard(key, entry?.version ?: 0)),
+            if (overriding) listOf(claim, overrideMark(zone)) else listOf(claim),
+        )
         when (outcome) {
             is TxnOutcome.Applied -> {
                 tokens[zone] = outcome.revision
@@ -254,8 +289,11 @@
                 log.info("owner of {} with token {}", zone, outcome.revision)
                 onClaim(zone, outcome.revision, overriding)
             }
+
             is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
+
             is TxnOutcome.Refused -> if (outcome.status == 400) leaseEnded()
+
             // If it is carried out after all, the key shows this label and is claimed once more under a new token.
             is TxnOutcome.Unknown -> log.info("claim of {} without an answer: {}", zone, outcome.why)
         }
@@ -283,6 +321,7 @@
         const val OVERRIDDEN_MS = 45_000L
         const val STRAY_JITTER_MS = 200L
         const val STRAY_OWNED_MS = 300L
+
         /** So many more parts than another node are too many: to hand one over costs its tasks a second or two. */
         const val TOO_MANY = 3
         const val YIELD_MS = 4_000L
@@ -299,7 +338,8 @@
  * owner. When it has crashed all of them leave, a like part to each other node; but machines that hang and go on leave
  * it too, and of a large part many may do so at a time: a fixed number would have its parts claimed from a sound owner.
  */
-fun manyStrays(machines: Int, nodes: Int): Int = maxOf(FEW_STRAYS, Math.ceil(machines * STRAY_SHARE / maxOf(1, nodes - 1)).toInt())
+fun manyStrays(machines: Int, nodes: Int): Int =
+    maxOf(FEW_STRAYS, Math.ceil(machines * STRAY_SHARE / maxOf(1, nodes - 1)).toInt())
 
 private const val FEW_STRAYS = 3
 private const val STRAY_SHARE = 0.3
--- a/src/main/kotlin/io/otterknot/ownership/Strays.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Strays.kt
@@ -1,9 +1,10 @@
 package io.otterknot.ownership
 
 /**
- * Machines that come here although another node owns their part. A registered one has been with its owner, and leaves it
- * only if it gets no answer there; one that comes back after it was sent to the owner got none even now. An owner that
- * has crashed, or that its workers do not reach, is found out this way long before its lease ends, and before theirs do.
+ * Machines that come here although another node owns their part. A registered one has been with its owner, and leaves
+ * it only if it gets no answer there; one that comes back after it was sent to the owner got none even now. An owner
+ * that has crashed, or that its workers do not reach, is found out this way long before its lease ends, and before
+ * theirs do.
  */
 class Strays {
     private class Seen(val sentMs: Long, val backMs: Long, val left: Boolean)
--- a/src/main/kotlin/io/otterknot/peer/Announcer.kt
+++ b/src/main/kotlin/io/otterknot/peer/Announcer.kt
@@ -31,7 +31,11 @@
         val now = nowMs()
         val known = announced[part.zone]?.takeIf { it.token == part.token }
         if (idle == 0) {
-            if (known != null && tell(known.to, PeerMessage.Withdraw(part.zone, part.token)) != null) announced.remove(part.zone)
+            if (known != null &&
+                tell(known.to, PeerMessage.Withdraw(part.zone, part.token)) != null
+            ) {
+                announced.remove(part.zone)
+            }
             return
         }
         if (known != null) {
--- a/src/main/kotlin/io/otterknot/peer/IdleParts.kt
+++ b/src/main/kotlin/io/otterknot/peer/IdleParts.kt
@@ -20,12 +20,14 @@
                     view.idleMachines = message.idle
                 }
             }
+
             is PeerMessage.Withdraw -> {
                 if (message.token >= (told[message.zone]?.token ?: 0)) {
                     told.remove(message.zone)
                     views[message.zone]?.idleMachines = 0
                 }
             }
+
             else -> Unit
         }
         return PeerMessage.Known(told.size, sound())
--- a/src/main/kotlin/io/otterknot/peer/PeerLink.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerLink.kt
@@ -93,8 +93,17 @@
     override suspend fun sound(): Boolean? = (peer.ask(PeerMessage.Ask, PEER_ANSWER_MS) as? PeerMessage.Known)?.sound
 
     override suspend fun carry(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
-        val answer = peer.ask(PeerMessage.Carry(method, target, body, timeoutMs.toInt()), timeoutMs + PEER_ANSWER_MS) as? PeerMessage.Carried
-        return if (answer == null || answer.status == 0) Reply.None("no answer by way of another controller") else Reply.Answer(answer.status, answer.body)
+        val answer = peer.ask(
+            PeerMessage.Carry(method, target, body, timeoutMs.toInt()),
+            timeoutMs + PEER_ANSWER_MS,
+        ) as? PeerMessage.Carried
+        return if (answer == null ||
+            answer.status == 0
+        ) {
+            Reply.None("no answer by way of another controller")
+        } else {
+            Reply.Answer(answer.status, answer.body)
+        }
     }
 }
 
@@ -130,4 +139,5 @@
         } finally {
             if (answered) kept = connection else connection?.socket?.close()
         }
-    }}
+    }
+}
--- a/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -38,16 +38,27 @@
         val body = Buffer()
         when (message) {
             PeerMessage.Ask -> body.writeByte(1)
-            is PeerMessage.Announce -> body.writeByte(2).writeName(message.zone).writeLong(message.token).writeInt(message.idle)
+
+            is PeerMessage.Announce -> body.writeByte(
+                2,
+            ).writeName(message.zone).writeLong(message.token).writeInt(message.idle)
+
             is PeerMessage.Withdraw -> body.writeByte(3).writeName(message.zone).writeLong(message.token)
+
             is PeerMessage.Known -> body.writeByte(4).writeInt(message.parts).writeByte(if (message.sound) 1 else 0)
+
             is PeerMessage.Carry -> {
                 body.writeByte(5).writeName(message.method).writeName(message.target).writeInt(message.timeoutMs)
                 body.writeInt(message.body?.size ?: -1).write(message.body ?: EMPTY)
             }
+
             is PeerMessage.Yield -> body.writeByte(7).writeName(message.zone).writeInt(message.owned)
+
             is PeerMessage.Unknown -> body.writeByte(message.kind)
-            is PeerMessage.Carried -> body.writeByte(6).writeInt(message.status).writeInt(message.body.size).write(message.body)
+
+            is PeerMessage.Carried -> body.writeByte(
+                6,
+            ).writeInt(message.status).writeInt(message.body.size).write(message.body)
         }
         return Buffer().writeInt(body.size.toInt()).also { it.writeAll(body) }.readByteArray()
     }
@@ -58,12 +69,24 @@
         try {
             val message = when (val kind = buffer.readByte().toInt()) {
                 1 -> PeerMessage.Ask
+
                 2 -> PeerMessage.Announce(buffer.readName(), buffer.readLong(), buffer.readInt())
+
                 3 -> PeerMessage.Withdraw(buffer.readName(), buffer.readLong())
+
                 4 -> PeerMessage.Known(buffer.readInt(), buffer.readByte().toInt() != 0)
-                5 -> PeerMessage.Carry(buffer.readName(), buffer.readName(), timeoutMs = buffer.readInt(), body = buffer.readBytes())
+
+                5 -> PeerMessage.Carry(
+                    buffer.readName(),
+                    buffer.readName(),
+                    timeoutMs = buffer.readInt(),
+                    body = buffer.readBytes(),
+                )
+
                 6 -> PeerMessage.Carried(buffer.readInt(), buffer.readBytes() ?: EMPTY)
+
                 7 -> PeerMessage.Yield(buffer.readName(), buffer.readInt())
+
                 else -> return PeerMessage.Unknown(kind)
             }
             if (!buffer.exhausted()) throw Malformed("bytes after the message")
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -10,29 +10,37 @@
 }
 
 /**
- * The operators' aims by class of job. When more is asked than can be done, serving in order of arrival would make every
- * job late; what a job has missed, and what it is about to miss, say when it is served.
+ * The operators' aims by class of job. When more is asked than can be done, serving in order of arrival would make
+ * every job late; what a job has missed, and what it is about to miss, say when it is served.
  */
 class Aims(private val byKind: Map<String, List<Aim>>) {
 
     /** How many of its aims a job has missed at [wallMs], as it still waits. */
     fun missed(job: PartJob, wallMs: Long): Int = latestStarts(job).count { wallMs > it }
 
-    /** How long until a job, as it still waits at [wallMs], misses its next aim; null: it has missed all that it had. */
+    /**
+     * How long until a job, as it still waits at [wallMs], misses its next aim; null: it has missed all that it had.
+     */
     fun slackS(job: PartJob, wallMs: Long): Double? {
         val latest = latestStarts(job)
         if (latest.isEmpty()) return Double.MAX_VALUE
         return latest.filter { it >= wallMs }.minOrNull()?.let { (it - wallMs) / 1000.0 }
     }
 
-    /** When, by the time of day, waiting tasks of a job must begin for each of its aims to be met, and for those of jobs that need it. */
+    /**
+     * When, by the time of day, waiting tasks of a job must begin for each of its aims to be met, and for those of jobs
+     * that need it.
+     */
     private fun latestStarts(job: PartJob): List<Double> {
         val likely = job.spec.estimateS * LIKELY
         val own = byKind[job.spec.kind].orEmpty().map { aim ->
             when (aim) {
                 is Aim.Started -> job.readyMs + aim.withinS * 1000
+
                 is Aim.Finished -> job.readyMs + (aim.withinS - likely) * 1000
-                is Aim.Deadline -> job.spec.dueS?.let { job.submittedMs + (it * aim.times - likely) * 1000 } ?: Double.MAX_VALUE
+
+                is Aim.Deadline -> job.spec.dueS?.let { job.submittedMs + (it * aim.times - likely) * 1000 }
+                    ?: Double.MAX_VALUE
             }
         }
         val lent = job.lentDueMs ?: return own
@@ -44,7 +52,8 @@
      * stopped: a part of the tightest wait asked for, since what is stopped has run for nothing.
      */
     fun patienceMs(spec: JobSpec): Long {
-        val tightest = byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().minOfOrNull { it.withinS } ?: DEFAULT_WAIT_S
+        val tightest =
+            byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().minOfOrNull { it.withinS } ?: DEFAULT_WAIT_S
         return (tightest * PATIENCE * 1000).toLong()
     }
 
@@ -53,7 +62,10 @@
      * advance. 0 where they may wait for a boot.
      */
     fun readyShare(spec: JobSpec, bootS: Double): Double =
-        byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().filter { it.withinS < bootS }.maxOfOrNull { it.share } ?: 0.0
+        byKind[spec.kind].orEmpty().filterIsInstance<Aim.Started>().filter {
+            it.withinS < bootS
+        }.maxOfOrNull { it.share }
+            ?: 0.0
 
     private companion object {
         const val PATIENCE = 0.3
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -39,8 +39,8 @@
 }
 
 class Amounts(var cores: Double = 0.0, var memoryGb: Double = 0.0, var cards: Double = 0.0) {
-    fun covers(spec: JobSpec) =
-        spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS && spec.cards <= cards + Machine.EPS
+    fun covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.memoryGb <= memoryGb + Machine.EPS &&
+        spec.cards <= cards + Machine.EPS
 
     fun add(spec: JobSpec, times: Int = 1) {
         cores += spec.cores * times
@@ -113,7 +113,8 @@
         while (size > type.cacheGb && images.size > 1) size -= images.remove(images.keys.first()) ?: 0.0
     }
 
-    fun avoids(jobId: String, now: Long): Boolean = failedJobs.isNotEmpty() && (failedJobs[jobId] ?: Long.MIN_VALUE) > now
+    fun avoids(jobId: String, now: Long): Boolean =
+        failedJobs.isNotEmpty() && (failedJobs[jobId] ?: Long.MIN_VALUE) > now
 
     var usedCores = 0.0
     var usedCards = 0.0
@@ -134,10 +135,9 @@
     val serving: Boolean get() = !draining && !silent && !retiring
     val usable: Boolean get() = reconciled && registered && serving && !deaf && !strange
 
-    fun roomFor(spec: JobSpec): Boolean =
-        usedCores + spec.cores <= type.cores + EPS &&
-            usedMemory + spec.memoryGb <= type.memoryGb + EPS &&
-            usedCards + spec.cards <= type.cards + EPS
+    fun roomFor(spec: JobSpec): Boolean = usedCores + spec.cores <= type.cores + EPS &&
+        usedMemory + spec.memoryGb <= type.memoryGb + EPS &&
+        usedCards + spec.cards <= type.cards + EPS
 
     /** Room that is not meant for a task of a higher priority. */
     fun spareFor(spec: JobSpec): Boolean {
@@ -155,7 +155,11 @@
 
     /** What is free or being freed and not held for anybody of [priority] or a higher one. */
     fun openRoom(priority: Priority): Amounts {
-        val open = Amounts(type.cores - usedCores + freeing.cores, type.memoryGb - usedMemory + freeing.memoryGb, type.cards - usedCards + freeing.cards)
+        val open = Amounts(
+            type.cores - usedCores + freeing.cores,
+            type.memoryGb - usedMemory + freeing.memoryGb,
+            type.cards - usedCards + freeing.cards,
+        )
         for (level in 0..priority.ordinal) {
             open.cores -= held[level].cores
             open.memoryGb -= held[level].memoryGb
@@ -179,7 +183,8 @@
     }
 
     /** The booked share of the scarcest resource. */
-    fun bookedShare(): Double = maxOf(ratio(usedCores, type.cores), ratio(usedMemory, type.memoryGb), ratio(usedCards, type.cards))
+    fun bookedShare(): Double =
+        maxOf(ratio(usedCores, type.cores), ratio(usedMemory, type.memoryGb), ratio(usedCards, type.cards))
 
     fun share(spec: JobSpec): Double =
         maxOf(ratio(spec.cores, type.cores), ratio(spec.memoryGb, type.memoryGb), ratio(spec.cards, type.cards))
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Part.kt
@@ -79,12 +79,14 @@
     private val registered = HashSet(registeredMachines.keys)
 
     /**
-     * Machines that show a task which is not booked here: of a job that is over, or one that is no longer ours. It is told
-     * to stop, and until it is gone nobody knows what it takes, of the machine and of its team's limit.
+     * Machines that show a task which is not booked here: of a job that is over, or one that is no longer ours. It is
+     * told to stop, and until it is gone nobody knows what it takes, of the machine and of its team's limit.
      */
     private val strangers = Suspects(emptyMap(), typeOf)
 
-    /** Machines whose lease ended with tasks of jobs that are over on them: hung, they may hold them still, and go back. */
+    /**
+     * Machines whose lease ended with tasks of jobs that are over on them: hung, they may hold them still, and go back.
+     */
     private val unstopped = HashSet<String>()
 
     /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
@@ -142,7 +144,10 @@
         if (held.takeLent()) scheduler.invalidate()
         val mine = BitSet()
         record.spans.forEach { if (it.zone == zone) mine.set(it.from, it.until) }
-        val came = (mine.clone() as BitSet).apply { andNot(held.mine); andNot(job.done) }
+        val came = (mine.clone() as BitSet).apply {
+            andNot(held.mine)
+            andNot(job.done)
+        }
         val left = (held.mine.clone() as BitSet).apply { andNot(mine) }
         held.mine.clear()
         held.mine.or(mine)
@@ -155,7 +160,13 @@
 
     /** Sets tasks of [held] that wait aside for another part, up to so many [cores]; the last ones first. */
     fun setAside(held: PartJob, cores: Double): BitSet {
-        var left = if (held.spec.cores > 0) minOf(cores / held.spec.cores, held.waiting.toDouble()).toInt() else held.waiting
+        var left = if (held.spec.cores >
+            0
+        ) {
+            minOf(cores / held.spec.cores, held.waiting.toDouble()).toInt()
+        } else {
+            held.waiting
+        }
         val chosen = BitSet()
         var task = held.pending.length() - 1
         while (task >= 0 && left > 0) {
@@ -170,7 +181,10 @@
 
     /** The handover of [tasks] is settled: what still belongs to this part waits here again. */
     fun settleHandover(held: PartJob, tasks: BitSet) {
-        val kept = (tasks.clone() as BitSet).apply { and(held.mine); and(held.leaving) }
+        val kept = (tasks.clone() as BitSet).apply {
+            and(held.mine)
+            and(held.leaving)
+        }
         held.leaving.andNot(tasks)
         if (held.over || kept.isEmpty) return
         held.pending.or(kept)
@@ -200,8 +214,8 @@
     // ---- machines ---------------------------------------------------------------------------------------------
 
     /**
-     * Whether another owner would soon be sure of what it gets. While an earlier one may still act, it would have to wait
-     * for that one's end before time settles what a single dead machine leaves in doubt.
+     * Whether another owner would soon be sure of what it gets. While an earlier one may still act, it would have to
+     * wait for that one's end before time settles what a single dead machine leaves in doubt.
      */
     fun mayYield(now: Long): Boolean = settled && now > othersUntilMs
 
@@ -257,12 +271,13 @@
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
         val lively = talking.count { now - it.heardMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
-        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } + neverHeard(now, afterMs, talking.size)
+        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } +
+            neverHeard(now, afterMs, talking.size)
     }
 
     /**
-     * Machines that have not reported since the claim while most have. In a large part one or two are dead at any time, and
-     * they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
+     * Machines that have not reported since the claim while most have. In a large part one or two are dead at any time,
+     * and they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
      */
     private fun neverHeard(now: Long, afterMs: Long, talking: Int): Collection<String> {
         if (settled || suspects.size * 3 > talking) return emptyList()
@@ -271,7 +286,9 @@
         return if (now - claimedMs < waitMs) emptyList() else missing
     }
 
-    /** Machines whose reports arrive while answers to them are lost again and again: they do nothing and hold others up. */
+    /**
+     * Machines whose reports arrive while answers to them are lost again and again: they do nothing and hold others up.
+     */
     fun unreachable(): List<String> = machineList.filter { it.lostAnswers >= UNREACHABLE }.map { it.id }
 
     private fun forgetAll(machine: Machine) {
@@ -282,13 +299,20 @@
     }
 
     /**
-     * Looks for machines whose lease is surely over, and for doubts that time has settled; places what waits. Where this
-     * node itself has been [slow], its answers come too late for the workers, and no machine is to blame.
+     * Looks for machines whose lease is surely over, and for doubts that time has settled; places what waits. Where
+     * this node itself has been [slow], its answers come too late for the workers, and no machine is to blame.
      */
     fun sweep(now: Long, slow: Boolean = false) {
         for (machine in machineList) {
-            if (!machine.silent && now - machine.leaseFromMs > times.surelyOverMs && now - machine.heardMs > times.surelyOverMs) {
-                log.info("{}: no report from {} within its lease; {} attempts are over", zone, machine.id, machine.attempts.size)
+            if (!machine.silent && now - machine.leaseFromMs > times.surelyOverMs &&
+                now - machine.heardMs > times.surelyOverMs
+            ) {
+                log.info(
+                    "{}: no report from {} within its lease; {} attempts are over",
+                    zone,
+                    machine.id,
+                    machine.attempts.size,
+                )
                 machine.silent = true
                 machine.idle = false
                 if (machine.attempts.values.any { it.job.over } || machine.id in strangers) unstopped.add(machine.id)
@@ -306,7 +330,10 @@
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
         // then falls silent, its lease ends that much later than those of machines never heard of.
-        suspects.removeIf { id -> now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) > times.surelyOverMs }
+        suspects.removeIf { id ->
+            now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) >
+                times.surelyOverMs
+        }
         if (!suspects.empty) return
         settled = true
         var count = 0
@@ -381,10 +408,19 @@
     private fun unknowing(machine: Machine, again: Boolean, now: Long) {
         machine.reconciled = false
         if (again) machine.lostAnswers++
-        if (now - othersUntilMs <= times.tooLateMs) machine.leaseFromMs = now else if (suspects.remove(machine.id)) settle(now)
+        if (now - othersUntilMs <=
+            times.tooLateMs
+        ) {
+            machine.leaseFromMs = now
+        } else if (suspects.remove(machine.id)) {
+            settle(now)
+        }
     }
 
-    /** What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always will. */
+    /**
+     * What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always
+     * will.
+     */
     private fun compareSent(machine: Machine) {
         var lost = false
         if (machine.attempts.isNotEmpty()) {
@@ -399,8 +435,8 @@
     }
 
     /**
-     * The cloud takes the machine in [noticeS]. What cannot end before that begins elsewhere at once: waiting for its loss
-     * would cost it the time of the notice besides, and a deadline leaves little more than that.
+     * The cloud takes the machine in [noticeS]. What cannot end before that begins elsewhere at once: waiting for its
+     * loss would cost it the time of the notice besides, and a deadline leaves little more than that.
      */
     private fun leave(machine: Machine, noticeS: Double, now: Long) {
         for (attempt in machine.attempts.values.toList()) {
@@ -427,6 +463,7 @@
                     commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
                     attempt.haltSent = true
                 }
+
                 attempt.phase == Phase.BOOKED -> {
                     attempt.phase = Phase.SENT
                     attempt.started = true
@@ -480,7 +517,13 @@
     }
 
     private fun exited(
-        machine: Machine, held: PartJob, task: Int, entry: TaskReport, known: Attempt?, now: Long, commands: MutableList<Command>,
+        machine: Machine,
+        held: PartJob,
+        task: Int,
+        entry: TaskReport,
+        known: Attempt?,
+        now: Long,
+        commands: MutableList<Command>,
     ) {
         if (entry.cause == ExitCause.DONE) {
             // `forget` only once the completion is durable: until then this report is the only trace of it.
@@ -502,14 +545,18 @@
             // Not for ever: this may be the only machine that the job is allowed on, and sound after all.
             held.avoid(machine, now)
             machine.failures++
-            // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a job
-            // that fails everywhere says nothing of machines, but must not keep them all busy.
+            // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a
+            // job that fails everywhere says nothing of machines, but must not keep them all busy.
             val others = machine.failedJobs.size >= 2
             if (machine.failures >= FAULTY && (others || !held.job.done.isEmpty)) machine.draining = true
             if (held.failures > 3) held.retryAtMs = now + minOf(30_000L, 500L shl minOf(held.failures, 10))
         }
         if (known != null) {
-            if (entry.cause != ExitCause.ERROR && entry.cause != "stopped") log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
+            if (entry.cause != ExitCause.ERROR &&
+                entry.cause != "stopped"
+            ) {
+                log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
+            }
             requeue(known)
         } else if (held.unheld(task) && !held.doubtful.get(task)) {
             held.pending.set(task)
@@ -528,7 +575,12 @@
     private fun tooSlow(machine: Machine, ratio: Double) {
         machine.slowness.add(ratio)
         if (!machine.slowness.slow || machine.draining) return
-        log.info("{}: {} takes {} times as long as others for its tasks; it is emptied and returned", zone, machine.id, machine.slowness)
+        log.info(
+            "{}: {} takes {} times as long as others for its tasks; it is emptied and returned",
+            zone,
+            machine.id,
+            machine.slowness,
+        )
         machine.draining = true
     }
 
@@ -560,7 +612,13 @@
         // A report that was held back may show a task that has long been given up here and is leaving for another part:
         // taken back, it would start in both.
         if (!held.unheld(task)) {
-            log.warn("{}: {} shows {} (attempt {}), which it should not hold", zone, machine.id, entry.task, entry.attempt)
+            log.warn(
+                "{}: {} shows {} (attempt {}), which it should not hold",
+                zone,
+                machine.id,
+                entry.task,
+                entry.attempt,
+            )
             return null
         }
         held.pending.clear(task)
@@ -621,8 +679,9 @@
     }
 
     /**
-     * What a team may still use here. A machine that is not known yet, or that shows a task not booked here, may be full of
-     * its tasks, also of jobs that are over: until it is known what is there, all of that machine counts as used.
+     * What a team may still use here. A machine that is not known yet, or that shows a task not booked here, may be
+     * full of its tasks, also of jobs that are over: until it is known what is there, all of that machine counts as
+     * used.
      */
     private fun leftover(team: Int): Amount {
         val left = teams[team].allotment - Amount(teamCores[team], teamCards[team])
@@ -697,10 +756,12 @@
     }
 
     /** What the booked cores are doing. */
-    fun coresByPhase(): Map<Phase, Double> =
-        machineList.flatMap { it.attempts.values }.groupBy { it.phase }.mapValues { (_, held) -> held.sumOf { it.job.spec.cores } }
+    fun coresByPhase(): Map<Phase, Double> = machineList.flatMap {
+        it.attempts.values
+    }.groupBy { it.phase }.mapValues { (_, held) -> held.sumOf { it.job.spec.cores } }
 
-    fun runningTasks(jobId: String): Int = job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
+    fun runningTasks(jobId: String): Int =
+        job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
 
     private companion object {
         const val ATTEMPT_BITS = 24
--- a/src/main/kotlin/io/otterknot/placement/PartChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartChooser.kt
@@ -44,7 +44,10 @@
 
 /** The choice among parts, made like the one among machines: one announced idle, else the lower mean of two. */
 object PartChooser {
-    /** Deals the tasks of [spec] out to parts in at most [MAX_BLOCKS] blocks, raising the chosen parts' means in this view. */
+    /**
+     * Deals the tasks of [spec] out to parts in at most [MAX_BLOCKS] blocks, raising the chosen parts' means in this
+     * view.
+     */
     fun deal(spec: JobSpec, parts: List<PartView>, random: Random): List<Span> {
         val open = if (spec.zone == null) parts else parts.filter { it.zone == spec.zone }
         if (spec.oneZone || open.size == 1) {
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartJob.kt
@@ -71,13 +71,16 @@
     /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
     val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
 
-    /** Ours and on no machine that we know of, not completed and not leaving: it may wait here, if it is not in doubt. */
+    /**
+     * Ours and on no machine that we know of, not completed and not leaving: it may wait here, if it is not in doubt.
+     */
     fun unheld(task: Int): Boolean =
         mine.get(task) && !leaving.get(task) && !active.containsKey(task) && !fresh.get(task) && !job.done.get(task)
 
     /** Every task of the job that is not done waits here, and none is on a machine or may be. */
     val allWaits: Boolean get() =
-        active.isEmpty() && doubtful.isEmpty && leaving.isEmpty && fresh.isEmpty && pending.cardinality() == spec.tasks - job.done.cardinality()
+        active.isEmpty() && doubtful.isEmpty && leaving.isEmpty && fresh.isEmpty &&
+            pending.cardinality() == spec.tasks - job.done.cardinality()
 
     val waitingCores: Double get() = (waiting + doubtful.cardinality()) * spec.cores
     val waiting: Int get() = pending.cardinality()
--- a/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
+++ b/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
@@ -23,11 +23,21 @@
         for (job in jobs) {
             val spec = job.spec
             // What took no room before takes none now: room only gets less as it is held.
-            if (hopeless.any { it.cores <= spec.cores && it.memoryGb <= spec.memoryGb && it.cards <= spec.cards && it.spot == spec.spot && it.types == spec.types }) continue
+            if (hopeless.any {
+                    it.cores <= spec.cores && it.memoryGb <= spec.memoryGb && it.cards <= spec.cards &&
+                        it.spot == spec.spot &&
+                        it.types == spec.types
+                }
+            ) {
+                continue
+            }
             var left = startable(job)
             if (left <= 0) continue
             // Machines that have the image first.
-            val possible = machines.filter { it.allowed(spec) && !it.avoids(job.id, now) }.sortedBy { spec.image !in it.images }
+            val possible = machines.filter { it.allowed(spec) && !it.avoids(job.id, now) }.sortedBy {
+                spec.image !in
+                    it.images
+            }
             for (machine in possible) {
                 if (left == 0) break
                 val open = machine.openRoom(priority)
@@ -53,9 +63,22 @@
     }
 
     /** The attempts to stop so that a task fits, those that lose least first; null: not even then would it. */
-    private fun option(machine: Machine, spec: JobSpec, stoppable: MutableMap<Machine, List<Attempt>>, now: Long): Option? {
+    private fun option(
+        machine: Machine,
+        spec: JobSpec,
+        stoppable: MutableMap<Machine, List<Attempt>>,
+        now: Long,
+    ): Option? {
         val lesser = stoppable.getOrPut(machine) {
-            machine.attempts.values.filter { it.job.spec.priority > spec.priority && !it.kept }.sortedBy { if (it.job.missedAims > 0) lostWork(it, now) else lostWork(it, now) * STILL_GOOD + STILL_GOOD }
+            machine.attempts.values.filter { it.job.spec.priority > spec.priority && !it.kept }.sortedBy {
+                if (it.job.missedAims >
+                    0
+                ) {
+                    lostWork(it, now)
+                } else {
+                    lostWork(it, now) * STILL_GOOD + STILL_GOOD
+                }
+            }
         }
         if (lesser.isEmpty()) return null
         val open = machine.openRoom(spec.priority)
@@ -64,14 +87,25 @@
             if (attempt.halting || !attempt.holds) continue
             open.add(attempt.job.spec)
             victims.add(attempt)
-            if (open.covers(spec)) return Option(machine, victims, victims.sumOf { lostWork(it, now) } + fetch(machine, spec))
+            if (open.covers(spec)) {
+                return Option(
+                    machine,
+                    victims,
+                    victims.sumOf { lostWork(it, now) } + fetch(machine, spec),
+                )
+            }
         }
         return null
     }
 
     /** Core-seconds that go by before the task can begin there. */
-    private fun fetch(machine: Machine, spec: JobSpec): Double =
-        if (spec.image in machine.images || machine.type.fetchGbPerS <= 0) 0.0 else spec.imageGb / machine.type.fetchGbPerS * spec.cores
+    private fun fetch(machine: Machine, spec: JobSpec): Double = if (spec.image in machine.images ||
+        machine.type.fetchGbPerS <= 0
+    ) {
+        0.0
+    } else {
+        spec.imageGb / machine.type.fetchGbPerS * spec.cores
+    }
 
     /** Core-seconds that stopping an attempt throws away. */
     private fun lostWork(attempt: Attempt, now: Long): Double =
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -46,7 +46,12 @@
  * Places what waits in a part. A task that waits fits nowhere, or it would have been placed: so when a report frees
  * room, only that machine is looked at, and all machines only once something has come to wait or the time is up.
  */
-class Scheduler(private val ledger: Ledger, private val aims: Aims, private val wallOf: (Long) -> Long, private val random: Random) {
+class Scheduler(
+    private val ledger: Ledger,
+    private val aims: Aims,
+    private val wallOf: (Long) -> Long,
+    private val random: Random,
+) {
     val order = WaitOrder(aims, wallOf)
     private val roomMaker = RoomMaker(
         startable = { minOf(it.waiting, ledger.startable(it)) },
@@ -122,11 +127,22 @@
             for (queue in queues) queue.next = 0
             while (true) {
                 val queue = nextInTurn(queues) ?: break
-                val job = if (only == null) queue.jobs[queue.next] else queue.pick { it.spec.image in only.images && mayStart(it, now) && fits(it, only, now) }
+                val job = if (only ==
+                    null
+                ) {
+                    queue.jobs[queue.next]
+                } else {
+                    queue.pick {
+                        it.spec.image in only.images && mayStart(it, now) &&
+                            fits(it, only, now)
+                    }
+                }
                 if (!mayStart(job, now) || placeOne(job, open, only, now) == null) queue.next++
             }
             if (makingRoom && priority < Priority.BEST_EFFORT) {
-                val waiting = queues.flatMap { queue -> queue.jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now } }
+                val waiting = queues.flatMap { queue ->
+                    queue.jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
+                }
                 roomMaker.make(priority, waiting, usable, now)
             }
         }
@@ -146,7 +162,8 @@
         return chosen
     }
 
-    private fun mayStart(job: PartJob, now: Long) = !job.pending.isEmpty && job.retryAtMs <= now && ledger.startable(job) > 0
+    private fun mayStart(job: PartJob, now: Long) =
+        !job.pending.isEmpty && job.retryAtMs <= now && ledger.startable(job) > 0
 
     private fun fits(job: PartJob, machine: Machine, now: Long) =
         machine.allowed(job.spec) && machine.spareFor(job.spec) && !machine.avoids(job.id, now)
@@ -155,7 +172,9 @@
         val machine = if (only != null) {
             only.takeIf { fits(job, it, now) }?.also { it.take(it.share(job.spec)) }
         } else {
-            val candidates = job.candidates ?: JobCandidates(open, job.spec, ordinaryWork) { fits(job, it, now) }.also { job.candidates = it }
+            val candidates =
+                job.candidates
+                    ?: JobCandidates(open, job.spec, ordinaryWork) { fits(job, it, now) }.also { job.candidates = it }
             candidates.choose(random, job.spec)
         } ?: return null
         machine.held(job.spec.priority).takeUpTo(job.spec)
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -82,9 +82,9 @@
     }
 
     /**
-     * First what is about to miss an aim, whichever that is; then the others by how many they have missed; last what has
-     * none left. By missed aims alone a job late once would wait behind all that are new until it is late for good, while
-     * most of those could wait.
+     * First what is about to miss an aim, whichever that is; then the others by how many they have missed; last what
+     * has none left. By missed aims alone a job late once would wait behind all that are new until it is late for good,
+     * while most of those could wait.
      */
     private fun rank(missedAims: Int, slackS: Double?): Int = when {
         slackS == null -> Int.MAX_VALUE
--- a/src/main/kotlin/io/otterknot/state/Figures.kt
+++ b/src/main/kotlin/io/otterknot/state/Figures.kt
@@ -34,7 +34,9 @@
     }
 
     fun timesText(): String = times.entries.sortedBy { it.key }.filter { it.value.totalCount > 0 }
-        .joinToString { (what, taken) -> "$what ${taken.getValueAtPercentile(50.0)}, ${taken.getValueAtPercentile(99.0)}" }
+        .joinToString { (what, taken) ->
+            "$what ${taken.getValueAtPercentile(50.0)}, ${taken.getValueAtPercentile(99.0)}"
+        }
 
     private companion object {
         const val EVERY_MS = 60_000L
--- a/src/main/kotlin/io/otterknot/state/JobChanges.kt
+++ b/src/main/kotlin/io/otterknot/state/JobChanges.kt
@@ -13,8 +13,8 @@
 /** The changes that bring a job in and that end it. */
 object JobChanges {
     /**
-     * The job's own key and, if the jobs that it awaits do not fit there, keys with those; all in one transaction, so that it
-     * is never there without them. Null: more than a transaction holds.
+     * The job's own key and, if the jobs that it awaits do not fit there, keys with those; all in one transaction, so
+     * that it is never there without them. Null: more than a transaction holds.
      */
     fun accept(key: String, record: JobRecord, limits: ValueLimits): List<Change>? {
         fun put(record: JobRecord) = Change(put = key, value = encodeRecord(JobRecord.serializer(), record))
@@ -24,7 +24,11 @@
         val spec = record.spec ?: return null
         val pieces = pieces(spec.awaits ?: return null, limits.valueBytes)
         val main = put(record.copy(spec = spec.copy(awaits = null), awaitKeys = pieces.size))
-        val changes = pieces.mapIndexed { number, piece -> Change(put = Keys.awaits(spec.id, number), value = encodeRecord(AwaitsRecord.serializer(), piece)) } + main
+        val changes =
+            pieces.mapIndexed { number, piece ->
+                Change(put = Keys.awaits(spec.id, number), value = encodeRecord(AwaitsRecord.serializer(), piece))
+            } +
+                main
         val bytes = changes.sumOf { it.key.length + it.value.toString().length }
         return changes.takeIf { fits(main) && it.size <= limits.txnOps && bytes <= limits.txnBytes }
     }
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -58,7 +58,11 @@
     fun changeAwaits(key: String, entry: Entry?): List<Job> {
         if (entry == null) return emptyList()
         val path = key.substring(Keys.AWAITS.length)
-        return pipelines.more(known(path.substringBefore('/')), path.substringAfter('/').toInt(), decodeRecord(AwaitsRecord.serializer(), entry.value).jobs)
+        return pipelines.more(
+            known(path.substringBefore('/')),
+            path.substringAfter('/').toInt(),
+            decodeRecord(AwaitsRecord.serializer(), entry.value).jobs,
+        )
     }
 
     /** Takes a change of a segment of completions; the jobs of which tasks are newly done. */
--- a/src/main/kotlin/io/otterknot/state/Pipelines.kt
+++ b/src/main/kotlin/io/otterknot/state/Pipelines.kt
@@ -22,8 +22,8 @@
 
 /**
  * Which jobs wait for which, derived from the replica alone and so the same at each controller that has read as much.
- * Work is done only where a job comes or becomes final, and along what that changes: chains may be long and fans wide, so
- * all walks keep a list of their own instead of calling themselves.
+ * Work is done only where a job comes or becomes final, and along what that changes: chains may be long and fans wide,
+ * so all walks keep a list of their own instead of calling themselves.
  */
 class Pipelines(private val job: (String) -> Job?) {
     /** The jobs that directly await a job which is not done; only ever added to until it is. */
@@ -123,7 +123,8 @@
     }
 
     /** Reckons anew what the jobs before [from] owe, since it needs them no more. */
-    private fun stopLending(from: Job, touched: MutableSet<Job>) = walkBack(from, touched) { awaited, _ -> owe(awaited) }
+    private fun stopLending(from: Job, touched: MutableSet<Job>) =
+        walkBack(from, touched) { awaited, _ -> owe(awaited) }
 
     /** What [awaited] owes to all that need it; whether that is another than before. */
     private fun owe(awaited: Job): Boolean {
@@ -154,7 +155,9 @@
 
     private fun urgency(of: Job): Priority? = listOfNotNull(of.spec?.priority, of.needs.lentPriority).minOrNull()
 
-    /** When the jobs before [of] have to be complete: its own due time, or its followers', less the time that it takes. */
+    /**
+     * When the jobs before [of] have to be complete: its own due time, or its followers', less the time that it takes.
+     */
     private fun beforeMs(of: Job): Long? {
         val spec = of.spec ?: return null
         val own = spec.dueS?.let { (of.record?.submittedMs ?: 0) + (it * 1000).toLong() }
@@ -163,7 +166,10 @@
     }
 
     private companion object {
-        /** From the end of one job to the start of the next: what is reported, written, read, placed and fetched meanwhile. */
+        /**
+         * From the end of one job to the start of the next: what is reported, written, read, placed and fetched
+         * meanwhile.
+         */
         const val STEP_MS = 4_000L
     }
 }
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -14,7 +14,9 @@
  * a long batch; and what only reads never waits for changes.
  */
 class RateBudget(
-    requestsPerS: Double, changesPerS: Double, private val nowMs: () -> Long,
+    requestsPerS: Double,
+    changesPerS: Double,
+    private val nowMs: () -> Long,
     private val share: () -> Share = { Share.WHOLE },
     /** What the limits will be lowered to some day, without notice: the first refusals tell that they have been. */
     private val later: Limits? = null,
@@ -38,7 +40,13 @@
             filledAt = now
         }
 
-        fun waitMs(wanted: Double = 0.0): Long = if (level >= wanted) 0 else ((wanted - level) * 1000.0 / perS).toLong() + 1
+        fun waitMs(wanted: Double = 0.0): Long = if (level >=
+            wanted
+        ) {
+            0
+        } else {
+            ((wanted - level) * 1000.0 / perS).toLong() + 1
+        }
     }
 
     private val requests = Bucket(requestsPerS, nowMs())
@@ -56,14 +64,21 @@
     private var refusedMs = Long.MIN_VALUE / 2
     private var lowered = false
 
-    /** The service has refused a request for its rate. Once may be another node's doing; the lower limits then hold for good. */
+    /**
+     * The service has refused a request for its rate. Once may be another node's doing; the lower limits then hold for
+     * good.
+     */
     fun refused() {
         val now = nowMs()
         if (later != null && !lowered && now - refusedMs < REFUSALS_MS) {
             lowered = true
             requests.wholePerS = later.requestsPerS
             changes.wholePerS = later.changesPerS
-            log.info("requests are refused for their rate: from now on {} requests and {} changes a second", later.requestsPerS, later.changesPerS)
+            log.info(
+                "requests are refused for their rate: from now on {} requests and {} changes a second",
+                later.requestsPerS,
+                later.changesPerS,
+            )
         }
         refusedMs = now
     }
@@ -73,8 +88,7 @@
         changes.level -= changeCount
     }
 
-    private fun waitMs(changeCount: Int): Long =
-        maxOf(requests.waitMs(), if (changeCount > 0) changes.waitMs() else 0)
+    private fun waitMs(changeCount: Int): Long = maxOf(requests.waitMs(), if (changeCount > 0) changes.waitMs() else 0)
 
     /** For what somebody waits for and what is bounded in number. */
     suspend fun take(changeCount: Int = 0) {
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -11,8 +11,11 @@
 /** The state of a job that no later one can follow. */
 @Serializable
 enum class Final {
-    @SerialName("d") DONE,
-    @SerialName("a") CANCELLED,
+    @SerialName("d")
+    DONE,
+
+    @SerialName("a")
+    CANCELLED,
 }
 
 /** Tasks [from] until [until] belong to the part of [zone]. */
@@ -31,7 +34,9 @@
     @SerialName("n") val nonce: String? = null,
     @SerialName("x") val final: Final? = null,
     @SerialName("c") val tasks: Int = 0,
-    /** In how many keys of their own ([Keys.awaits]) the jobs that this one awaits stand; null: they stand in [spec]. */
+    /**
+     * In how many keys of their own ([Keys.awaits]) the jobs that this one awaits stand; null: they stand in [spec].
+     */
     @SerialName("w") val awaitKeys: Int? = null,
     /** When it became final, by the time of day of the controller that wrote so. */
     @SerialName("e") val endedMs: Long? = null,
@@ -63,7 +68,9 @@
     operator fun minus(other: Amount) = Amount(cores - other.cores, cards - other.cards)
 }
 
-/** How a team's limit is divided among the parts. The sum never changes: a part gives of its own, in one transaction. */
+/**
+ * How a team's limit is divided among the parts. The sum never changes: a part gives of its own, in one transaction.
+ */
 @Serializable
 data class AllotmentRecord(@SerialName("z") val byZone: Map<String, Amount>) {
     fun moved(from: String, to: String, amount: Amount): AllotmentRecord {
@@ -100,7 +107,19 @@
             var at = span.from
             while (at < span.until) {
                 val moving = tasks.get(at)
-                val next = if (moving) tasks.nextClearBit(at) else tasks.nextSetBit(at).let { if (it < 0) span.until else it }
+                val next = if (moving) {
+                    tasks.nextClearBit(at)
+                } else {
+                    tasks.nextSetBit(at).let {
+                        if (it <
+                            0
+                        ) {
+                            span.until
+                        } else {
+                            it
+                        }
+                    }
+                }
                 val until = minOf(next, span.until)
                 add(if (moving) zone else span.zone, at, until)
                 at = until
@@ -114,7 +133,9 @@
 @Serializable
 data class MachinesRecord(@SerialName("m") val types: Map<String, String> = emptyMap())
 
-/** Some of the jobs that a job awaits, by what follows "j-", with spaces between: a long list needs more than one key. */
+/**
+ * Some of the jobs that a job awaits, by what follows "j-", with spaces between: a long list needs more than one key.
+ */
 @Serializable
 data class AwaitsRecord(@SerialName("i") val ids: String) {
     val jobs: List<String> get() = ids.split(' ').map { "j-$it" }
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -21,7 +21,12 @@
  * A copy of everything this service keeps in the state service, changed only by the watch and so always one state
  * that the store once had, at [revision]. Own transactions show here when the watch brings them, never before.
  */
-class Replica(private val client: StateClient, private val random: Random, private val nowMs: () -> Long, private val pauseMs: Long) {
+class Replica(
+    private val client: StateClient,
+    private val random: Random,
+    private val nowMs: () -> Long,
+    private val pauseMs: Long,
+) {
     private val log = LoggerFactory.getLogger(Replica::class.java)
     private val entries = TreeMap<String, Entry>()
     private val reached = MutableStateFlow(-1L)
@@ -46,9 +51,10 @@
         entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { it.key to it.value }
 
     /** The machines that may hold tasks of a zone, with their types, by segment. */
-    fun machineSegments(zone: String): Map<Int, Map<String, String>> = under(Keys.machines(zone)).associate { (key, entry) ->
-        key.substringAfterLast('/').toInt() to decodeRecord(MachinesRecord.serializer(), entry.value).types
-    }
+    fun machineSegments(zone: String): Map<Int, Map<String, String>> =
+        under(Keys.machines(zone)).associate { (key, entry) ->
+            key.substringAfterLast('/').toInt() to decodeRecord(MachinesRecord.serializer(), entry.value).types
+        }
 
     /** Keeps the copy up to date until cancelled. */
     suspend fun follow() {
@@ -61,6 +67,7 @@
             }
             when (val outcome = watch()) {
                 null -> Unit
+
                 is WatchOutcome.Events -> {
                     apply(outcome.events.events)
                     if (outcome.events.revision > reached.value) reached.value = outcome.events.revision
@@ -68,10 +75,12 @@
                     // Changes that come close together are fetched together: each new watch counts as a request.
                     delay(pauseMs)
                 }
+
                 WatchOutcome.TooOld -> {
                     log.warn("the watch fell behind; reading everything again")
                     if (!load()) delay(400 + random.nextLong(400))
                 }
+
                 is WatchOutcome.Failed -> {
                     log.info("watch failed: {}", outcome.why)
                     delay(250 + random.nextLong(500))
@@ -80,7 +89,10 @@
         }
     }
 
-    /** Changes that the store is known to hold do not come: the watch is given up and opened anew, on whatever way is good now. */
+    /**
+     * Changes that the store is known to hold do not come: the watch is given up and opened anew, on whatever way is
+     * good now.
+     */
     fun reopen() {
         stuck.trySend(Unit)
     }
@@ -153,7 +165,12 @@
         if (!loaded) return false
         val place = barrier.enter()
         val began = nowMs()
-        return (withTimeoutOrNull(timeoutMs) { place.await() } ?: false).also { client.figures.took("barrier", nowMs() - began) }
+        return (withTimeoutOrNull(timeoutMs) { place.await() } ?: false).also {
+            client.figures.took(
+                "barrier",
+                nowMs() - began,
+            )
+        }
     }
 
     /** Serves the barrier until cancelled. */
--- a/src/main/kotlin/io/otterknot/state/Segments.kt
+++ b/src/main/kotlin/io/otterknot/state/Segments.kt
@@ -3,13 +3,16 @@
 /** Many small records under few keys: each change of a key is rationed, whatever it holds. */
 object Segments {
     /**
-     * The segments that change so that [gone] names are in none and [fresh] ones are in some, with at most [room] names in
-     * each that is written; a name that is there already stays where it is, unless its segment has to be written and is too
-     * large by now: what is too much moves on, and the segments that take it come first, since a batch may not take all.
-     * Segments that end empty are returned empty.
+     * The segments that change so that [gone] names are in none and [fresh] ones are in some, with at most [room] names
+     * in each that is written; a name that is there already stays where it is, unless its segment has to be written and
+     * is too large by now: what is too much moves on, and the segments that take it come first, since a batch may not
+     * take all. Segments that end empty are returned empty.
      */
     fun spread(
-        kept: Map<Int, Map<String, String>>, gone: Set<String>, fresh: Map<String, String>, room: Int,
+        kept: Map<Int, Map<String, String>>,
+        gone: Set<String>,
+        fresh: Map<String, String>,
+        room: Int,
     ): Map<Int, Map<String, String>> {
         val now = kept.mapValues { (_, names) -> LinkedHashMap(names.filterKeys { it !in gone }) }.toSortedMap()
         val moving = LinkedHashMap<String, String>()
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -11,8 +11,8 @@
 import io.otterknot.wire.Txn
 import io.otterknot.wire.WatchEvents
 import io.otterknot.wire.WireJson
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
 
 /** What came of a transaction. */
 sealed interface TxnOutcome {
@@ -39,7 +39,12 @@
 }
 
 /** The state service's interface, within this node's share of its limits. */
-class StateClient(private val http: Transport, private val watchHttp: Transport, val budget: RateBudget, val figures: Figures) {
+class StateClient(
+    private val http: Transport,
+    private val watchHttp: Transport,
+    val budget: RateBudget,
+    val figures: Figures,
+) {
 
     suspend fun list(prefix: String, after: String?): StoredPage? {
         budget.take()
@@ -74,10 +79,16 @@
         val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
         return when (val reply = http.call("POST", "/txn", body, TXN_MS)) {
             is Reply.None -> TxnOutcome.Unknown(reply.why)
+
             is Reply.Answer -> when (reply.status) {
-                200 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Applied(it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
-                409 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Conflict(it.failed, it.revision) } ?: TxnOutcome.Unknown("unreadable answer")
+                200 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Applied(it.revision) }
+                    ?: TxnOutcome.Unknown("unreadable answer")
+
+                409 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Conflict(it.failed, it.revision) }
+                    ?: TxnOutcome.Unknown("unreadable answer")
+
                 400, 429, 503 -> TxnOutcome.Refused(reply.status).also { if (reply.status == 429) budget.refused() }
+
                 else -> TxnOutcome.Unknown("status ${reply.status}")
             }
         }
@@ -103,12 +114,21 @@
     suspend fun watch(prefix: String, after: Long, waitMs: Long): WatchOutcome {
         budget.take()
         figures.count("watches")
-        val reply = watchHttp.call("GET", "/watch?Under=$prefix&After=$after&WaitMs=$waitMs", null, waitMs + WATCH_SLACK_MS)
+        val reply = watchHttp.call(
+            "GET",
+            "/watch?Under=$prefix&After=$after&WaitMs=$waitMs",
+            null,
+            waitMs + WATCH_SLACK_MS,
+        )
         return when {
             reply is Reply.None -> WatchOutcome.Failed(reply.why)
+
             reply is Reply.Answer && reply.status == 410 -> WatchOutcome.TooOld
+
             reply is Reply.Answer && reply.status == 200 ->
-                parse(WatchEvents.serializer(), reply)?.let { WatchOutcome.Events(it) } ?: WatchOutcome.Failed("unreadable answer")
+                parse(WatchEvents.serializer(), reply)?.let { WatchOutcome.Events(it) }
+                    ?: WatchOutcome.Failed("unreadable answer")
+
             else -> WatchOutcome.Failed("status ${(reply as Reply.Answer).status}")
         }
     }
--- a/src/main/kotlin/io/otterknot/state/Writer.kt
+++ b/src/main/kotlin/io/otterknot/state/Writer.kt
@@ -33,9 +33,17 @@
             val entry = replica[wish.key]
             if (entry?.value == wish.value) continue
             val size = wish.key.length * 2 + 80 + (wish.value?.toString()?.length ?: 0)
-            if (changes.size >= most || changes.isNotEmpty() && bytes + size > maxBytes) break
+            if (changes.size >= most || (changes.isNotEmpty() && bytes + size > maxBytes)) break
             guards.add(Guard(wish.key, entry?.version ?: 0))
-            changes.add(if (wish.value == null) Change(remove = wish.key) else Change(put = wish.key, value = wish.value))
+            changes.add(
+                if (wish.value ==
+                    null
+                ) {
+                    Change(remove = wish.key)
+                } else {
+                    Change(put = wish.key, value = wish.value)
+                },
+            )
             bytes += size
         }
         if (changes.isEmpty()) return false
@@ -43,10 +51,12 @@
         guards.add(owner)
         when (val outcome = client.txn(guards, changes)) {
             is TxnOutcome.Applied -> replica.reach(outcome.revision, REACH_MS)
+
             is TxnOutcome.Conflict -> {
                 log.debug("batch of {} refused by {}", changes.size, outcome.failed)
                 if (owner.key in outcome.failed) onGuardLost() else replica.reach(outcome.revision, REACH_MS)
             }
+
             is TxnOutcome.Refused, is TxnOutcome.Unknown -> {
                 log.info("batch of {} not written: {}", changes.size, outcome)
                 delay(300 + random.nextLong(500))
--- a/src/main/kotlin/io/otterknot/wire/Jobs.kt
+++ b/src/main/kotlin/io/otterknot/wire/Jobs.kt
@@ -12,10 +12,17 @@
 /** Priorities, the most urgent first. */
 @Serializable
 enum class Priority {
-    @SerialName("prod") PRODUCTION,
-    @SerialName("high") HIGH,
-    @SerialName("normal") NORMAL,
-    @SerialName("best_effort") BEST_EFFORT,
+    @SerialName("prod")
+    PRODUCTION,
+
+    @SerialName("high")
+    HIGH,
+
+    @SerialName("normal")
+    NORMAL,
+
+    @SerialName("best_effort")
+    BEST_EFFORT,
     ;
 
     companion object {
@@ -92,7 +99,9 @@
         checkpointS = fields.amount("CacheS"),
         saveS = fields.amount("StashS"),
         dueS = fields.optionalAmount("DueS"),
-        awaits = fields.names("Awaits")?.distinct()?.onEach { if (!isJobId(it)) throw Malformed("Awaits names $it, which is not of the form j-000412") }?.ifEmpty { null },
+        awaits = fields.names("Awaits")?.distinct()?.onEach {
+            if (!isJobId(it)) throw Malformed("Awaits names $it, which is not of the form j-000412")
+        }?.ifEmpty { null },
     )
 }
 
@@ -116,12 +125,11 @@
         return value.toInt()
     }
 
-    fun flag(name: String): Boolean =
-        when ((required(name) as? JsonPrimitive)?.takeUnless { it.isString }?.content) {
-            "true" -> true
-            "false" -> false
-            else -> throw Malformed("$name is not true or false")
-        }
+    fun flag(name: String): Boolean = when ((required(name) as? JsonPrimitive)?.takeUnless { it.isString }?.content) {
+        "true" -> true
+        "false" -> false
+        else -> throw Malformed("$name is not true or false")
+    }
 
     fun names(name: String): List<String>? {
         val list = present(name) ?: return null
@@ -129,7 +137,8 @@
     }
 
     private fun asText(name: String, value: JsonElement): String {
-        val text = (value as? JsonPrimitive)?.takeIf { it.isString }?.content ?: throw Malformed("$name is not a string")
+        val text =
+            (value as? JsonPrimitive)?.takeIf { it.isString }?.content ?: throw Malformed("$name is not a string")
         if (text.isEmpty() || text.length > 200) throw Malformed("$name is empty or too long")
         return text
     }
--- a/src/main/kotlin/io/otterknot/wire/State.kt
+++ b/src/main/kotlin/io/otterknot/wire/State.kt
@@ -34,16 +34,10 @@
 }
 
 @Serializable
-data class Txn(
-    @SerialName("Guards") val guards: List<Guard>,
-    @SerialName("Then") val changes: List<Change>,
-)
+data class Txn(@SerialName("Guards") val guards: List<Guard>, @SerialName("Then") val changes: List<Change>)
 
 @Serializable
-data class Revision(
-    @SerialName("Tide") val revision: Long,
-    val failed: List<String> = emptyList(),
-)
+data class Revision(@SerialName("Tide") val revision: Long, val failed: List<String> = emptyList())
 
 @Serializable
 data class LeaseRequest(@SerialName("TtlMs") val ttlMs: Long)
--- a/src/main/kotlin/io/otterknot/wire/Workers.kt
+++ b/src/main/kotlin/io/otterknot/wire/Workers.kt
@@ -47,10 +47,7 @@
 }
 
 @Serializable
-data class Commands(
-    @SerialName("Warrant") val token: Long,
-    @SerialName("Calls") val commands: List<Command>,
-)
+data class Commands(@SerialName("Warrant") val token: Long, @SerialName("Calls") val commands: List<Command>)
 
 @Serializable
 data class Redirect(@SerialName("AnswerTo") val reportTo: String? = null)
--- a/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
+++ b/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
@@ -46,7 +46,12 @@
         val owner = ownership.ownerOf(zone)
         if (owner == null || owner == label) return HttpResponse.refusal(503, "nobody may act for $zone at the moment")
         ownership.sentOn(zone, report.machine, report.token)
-        if (ownership.doubtsOwner(zone)) return HttpResponse.refusal(503, "$owner seems not to answer the workers of $zone")
+        if (ownership.doubtsOwner(
+                zone,
+            )
+        ) {
+            return HttpResponse.refusal(503, "$owner seems not to answer the workers of $zone")
+        }
         return HttpResponse.json(421, Redirect.serializer(), Redirect(owner))
     }
 
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -52,7 +52,10 @@
 
 /** Three controllers, their workers, cloud and state service, on virtual time; it watches every rule as it goes. */
 class ClusterStandIn(
-    val scope: CoroutineScope, seed: Long, val nowMs: () -> Long, teamLimit: Double = 0.0,
+    val scope: CoroutineScope,
+    seed: Long,
+    val nowMs: () -> Long,
+    teamLimit: Double = 0.0,
     /** How many machines of each kind a zone has. */
     private val capacity: Int = 4,
 ) {
@@ -84,13 +87,22 @@
     private var cutZone: String? = null
 
     fun cut(zone: String?) {
-        (cutZone ?: zone)?.let { node -> "holt-$node" }?.let { if (zone == null) peerless.remove(it) else peerless.add(it) }
+        (cutZone ?: zone)?.let { node -> "holt-$node" }?.let {
+            if (zone ==
+                null
+            ) {
+                peerless.remove(it)
+            } else {
+                peerless.add(it)
+            }
+        }
         state.refusedFor = zone?.let { "holt-$it" }
         cutZone = zone
     }
 
     /** Packets between a machine of [zone] and a node are held back. */
-    private fun held(zone: String, node: String): Boolean = node in cutNodes || (zone == cutZone) != (node == "holt-$cutZone")
+    private fun held(zone: String, node: String): Boolean =
+        node in cutNodes || (zone == cutZone) != (node == "holt-$cutZone")
 
     /** The limits of the state service that nodes are told will come. */
     var next = NextStateFacts()
@@ -115,7 +127,10 @@
     /** Since when each job waits although a machine that fits has room and its team is under its limit. */
     private val roomySince = HashMap<String, Long>()
 
-    /** Starts of tasks after their user was told that the job is cancelled: no rule forbids them for a while, but few are needed. */
+    /**
+     * Starts of tasks after their user was told that the job is cancelled: no rule forbids them for a while, but few
+     * are needed.
+     */
     var startsAfterCancel = 0
         private set
 
@@ -164,16 +179,35 @@
     fun startNode(label: String) {
         if (label in running) return
         val facts = Facts(
-            nodes = 3, zones = zones, teams = limits.map { TeamFacts(it.key, cpusMax = it.value) },
+            nodes = 3,
+            zones = zones,
+            teams = limits.map { TeamFacts(it.key, cpusMax = it.value) },
             objectives = listOf(Objective("wait", "urgent", 8.0, 0.9)),
-            workers = WorkerFacts(0.8, LEASE_S, CANCEL_S), state = StateFacts(600.0, 300.0, 8.0, 40, next), cloud = CloudFacts(30.0, 1.0),
+            workers = WorkerFacts(0.8, LEASE_S, CANCEL_S),
+            state = StateFacts(600.0, 300.0, 8.0, 40, next),
+            cloud = CloudFacts(30.0, 1.0),
         )
         val members = nodes.filter { it != label }.map { Member(it, it.removePrefix("holt-"), "127.0.0.1:1") }
-        val settings = Settings(label, label.removePrefix("holt-"), "127.0.0.1:1", "127.0.0.1:2", members, Endpoints("127.0.0.1:3", "127.0.0.1:4"), facts)
+        val settings =
+            Settings(
+                label,
+                label.removePrefix("holt-"),
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                members,
+                Endpoints("127.0.0.1:3", "127.0.0.1:4"),
+                facts,
+            )
         val link = if (label in old) ProductionCodec(state.link(label)) else state.link(label)
         val peers = members.associate { member ->
             member.label to PeerTransport { message, timeoutMs ->
-                if (label in peerless || member.label in peerless) null else withTimeoutOrNull(timeoutMs) { controllers[member.label]?.peer(message) }
+                if (label in peerless ||
+                    member.label in peerless
+                ) {
+                    null
+                } else {
+                    withTimeoutOrNull(timeoutMs) { controllers[member.label]?.peer(message) }
+                }
             }
         }
         val controller = Controller(settings, Links(link, link, cloud, peers), Random(random.nextLong()), nowMs, nowMs)
@@ -195,7 +229,13 @@
         controllers.remove(label)
     }
 
-    private suspend fun ask(label: String, method: String, path: String, body: ByteArray, limitMs: Long): HttpResponse? {
+    private suspend fun ask(
+        label: String,
+        method: String,
+        path: String,
+        body: ByteArray,
+        limitMs: Long,
+    ): HttpResponse? {
         val controller = controllers[label] ?: return null
         delay(1 + random.nextLong(5))
         val answer = withTimeoutOrNull(limitMs) { controller.route(HttpRequest(method, path, body)) }
@@ -205,12 +245,29 @@
     // ---- users
 
     fun spec(
-        id: Int, tasks: Int, runS: Double = 4.0, kind: String = "urgent", priority: Priority = Priority.HIGH, spot: Boolean = true, cores: Double = 2.0, zone: String? = null,
-    ) =
-        JobSpec(
-            id = "j-%06d".format(id), kind = kind, team = if (id % 2 == 0) "red" else "blue", priority = priority, tasks = tasks,
-            cores = cores, memoryGb = 4.0, image = "img", imageGb = 0.5, spot = spot, estimateS = runS, spread = id % 5 == 0, oneZone = id % 7 == 0, zone = zone,
-        )
+        id: Int,
+        tasks: Int,
+        runS: Double = 4.0,
+        kind: String = "urgent",
+        priority: Priority = Priority.HIGH,
+        spot: Boolean = true,
+        cores: Double = 2.0,
+        zone: String? = null,
+    ) = JobSpec(
+        id = "j-%06d".format(id), kind = kind,
+        team = if (id % 2 ==
+            0
+        ) {
+            "red"
+        } else {
+            "blue"
+        },
+        priority = priority, tasks = tasks,
+        cores = cores, memoryGb = 4.0, image = "img", imageGb = 0.5, spot = spot, estimateS = runS,
+        spread =
+        id % 5 == 0,
+        oneZone = id % 7 == 0, zone = zone,
+    )
 
     fun body(spec: JobSpec): ByteArray {
         val plain = WireJson.encodeToJsonElement(JobSpec.serializer(), spec)
@@ -239,7 +296,11 @@
         while (true) {
             val response = request("POST", "/submissions", body(spec), 5_000)
             if (response != null && response.status in 200..201) break
-            if (response != null && response.status in listOf(400, 422)) broken.add("forgotten: ${spec.id} refused with ${response.status}")
+            if (response != null &&
+                response.status in listOf(400, 422)
+            ) {
+                broken.add("forgotten: ${spec.id} refused with ${response.status}")
+            }
             delay(1_000)
         }
         val accepted = nowMs()
@@ -248,7 +309,16 @@
             delay(500 + random.nextLong(2_000))
             if (cancelAfterMs != null && nowMs() - accepted > cancelAfterMs) asked.add(spec.id)
             val withdraw = spec.id in asked && spec.id !in cancelledAt
-            val response = if (withdraw) request("POST", "/submissions/${spec.id}/withdraw", ByteArray(0), 2_000) else request("GET", "/submissions/${spec.id}", ByteArray(0), 2_000)
+            val response = if (withdraw) {
+                request(
+                    "POST",
+                    "/submissions/${spec.id}/withdraw",
+                    ByteArray(0),
+                    2_000,
+                )
+            } else {
+                request("GET", "/submissions/${spec.id}", ByteArray(0), 2_000)
+            }
             if (response == null || response.status == 503) continue
             answeredAt[spec.id] = nowMs()
             if (response.status != 200) {
@@ -264,7 +334,11 @@
 
     /** Users call off, within a moment, so many jobs that run; as long as no node confirms it, they ask again. */
     fun cancelNow(count: Int): List<JobSpec> {
-        val running = workers.values.flatMap { it.holding().values }.map { it.first }.distinct().filter { told[it] != "done" && it !in asked }
+        val running = workers.values.flatMap { it.holding().values }.map { it.first }.distinct().filter {
+            told[it] !=
+                "done" &&
+                it !in asked
+        }
         return running.take(count).map { id -> specs.getValue(id).also { cancel(it) } }
     }
 
@@ -284,20 +358,39 @@
     private fun before(spec: JobSpec): Set<String> {
         val found = LinkedHashSet<String>()
         val walk = ArrayDeque(listOf(spec))
-        while (walk.isNotEmpty()) for (id in walk.removeFirst().awaits.orEmpty()) if (found.add(id)) specs[id]?.let(walk::add)
+        while (walk.isNotEmpty()) {
+            for (id in walk.removeFirst().awaits.orEmpty()) {
+                if (found.add(
+                        id,
+                    )
+                ) {
+                    specs[id]?.let(walk::add)
+                }
+            }
+        }
         return found
     }
 
     /** All tasks of the job have completed. */
-    private fun whole(id: String): Boolean = specs[id]?.let { spec -> (0 until spec.tasks).all { "$id/$it" in completed } } ?: false
+    private fun whole(id: String): Boolean =
+        specs[id]?.let { spec -> (0 until spec.tasks).all { "$id/$it" in completed } } ?: false
 
-    /** One request about an accepted job, to any node, whose answer must not be older than what the user was told before. */
+    /**
+     * One request about an accepted job, to any node, whose answer must not be older than what the user was told
+     * before.
+     */
     private suspend fun request(spec: JobSpec, method: String, path: String, body: ByteArray): Boolean {
         val before = told[spec.id]
         val response = ask(connect(), method, path, body, 2_000) ?: return false
         if (response.status == 503) return false
         answeredAt[spec.id] = nowMs()
-        if (response.status != 200) broken.add("forgotten: ${spec.id} got ${response.status}") else check(spec, response, before)
+        if (response.status !=
+            200
+        ) {
+            broken.add("forgotten: ${spec.id} got ${response.status}")
+        } else {
+            check(spec, response, before)
+        }
         return true
     }
 
@@ -305,14 +398,22 @@
         val mood = WireJson.decodeFromString(JobStatus.serializer(), response.body.decodeToString()).state
         if (before in listOf("done", "aborted") && before != mood) broken.add("went_back: ${spec.id} $before -> $mood")
         if (mood == "aborted") {
-            if (spec.id !in asked && before(spec).none { it in asked }) broken.add("went_back: ${spec.id} cancelled by nobody")
+            if (spec.id !in asked &&
+                before(spec).none { it in asked }
+            ) {
+                broken.add("went_back: ${spec.id} cancelled by nobody")
+            }
             cancelledAt.putIfAbsent(spec.id, nowMs())
         }
         if (mood == "queued" || mood == "running") {
             val since = before(spec).mapNotNull { cancelledAt[it] }.minOrNull()
             if (since != null && nowMs() - since > CANCEL_S * 1000) broken.add("orphaned: ${spec.id} is called $mood")
         }
-        if (mood == "done" && (0 until spec.tasks).any { "${spec.id}/$it" !in completed }) broken.add("not_done: ${spec.id}")
+        if (mood == "done" &&
+            (0 until spec.tasks).any { "${spec.id}/$it" !in completed }
+        ) {
+            broken.add("not_done: ${spec.id}")
+        }
         if (told[spec.id] !in listOf("done", "aborted")) told[spec.id] = mood
     }
 
@@ -335,16 +436,33 @@
         val text = body?.decodeToString().orEmpty()
         when {
             target == "/flavors" -> ok(WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(types)))
+
             target.startsWith("/machines/release") -> {
-                WireJson.decodeFromString(MachineNames.serializer(), text).machines.forEach { workers.remove(it)?.end() }
+                WireJson.decodeFromString(MachineNames.serializer(), text).machines.forEach {
+                    workers.remove(it)?.end()
+                }
                 ok("{}")
             }
+
             method == "GET" -> ok(
                 WireJson.encodeToString(
                     MachineList.serializer(),
-                    MachineList(workers.values.filter { nowMs() - it.bornMs > 2_000 }.map { ListedMachine(it.id, null, "big", it.zone, it.spot, "running", (nowMs() - it.bornMs) / 1000.0) }),
+                    MachineList(
+                        workers.values.filter { nowMs() - it.bornMs > 2_000 }.map {
+                            ListedMachine(
+                                it.id,
+                                null,
+                                "big",
+                                it.zone,
+                                it.spot,
+                                "running",
+                                (nowMs() - it.bornMs) / 1000.0,
+                            )
+                        },
+                    ),
                 ),
             )
+
             else -> {
                 val request = WireJson.decodeFromString(RentRequest.serializer(), text)
                 val names = bids.getOrPut(request.request) {
@@ -402,7 +520,8 @@
         /** It does what it is there for: what waits may count on it. */
         val sound: Boolean get() = nowMs() > hungUntilMs && !unreached && !mute && !faulty && nowMs() - bornMs > 10_000
 
-        val freeCores: Double get() = 8.0 - tasks.values.filter { it.state != "exited" }.sumOf { specs.getValue(it.job).cores }
+        val freeCores: Double get() = 8.0 -
+            tasks.values.filter { it.state != "exited" }.sumOf { specs.getValue(it.job).cores }
         private val loop = scope.launch {
             delay(1_000 + random.nextLong(4_000))
             answeredMs = nowMs()
@@ -421,7 +540,10 @@
         /** Tasks that are on this machine: they have their image and have not exited. */
         fun holding(): Map<String, Pair<String, Long>> {
             expire()
-            return tasks.filterValues { it.state == "running" }.entries.associate { it.key.substringBeforeLast('#') to (it.value.job to it.value.attempt) }
+            return tasks.filterValues { it.state == "running" }.entries.associate {
+                it.key.substringBeforeLast('#') to
+                    (it.value.job to it.value.attempt)
+            }
         }
 
         /** Tasks that it has not ended, with their image or without. */
@@ -462,21 +584,53 @@
 
         private fun starting(name: String, spec: JobSpec) {
             starts++
-            val waitedMs = nowMs() - ((spec.awaits.orEmpty().mapNotNull(wholeAt::get) + listOfNotNull(acceptedAt[spec.id])).maxOrNull() ?: nowMs())
-            if (began.add(spec.id) && waitedMs > BEGIN_MS) broken.add("${spec.id} with ${spec.tasks} tasks began after $waitedMs ms")
+            val waitedMs =
+                nowMs() -
+                    (
+                        (
+                            spec.awaits.orEmpty().mapNotNull(
+                                wholeAt::get,
+                            ) + listOfNotNull(acceptedAt[spec.id])
+                            ).maxOrNull()
+                            ?: nowMs()
+                        )
+            if (began.add(spec.id) &&
+                waitedMs > BEGIN_MS
+            ) {
+                broken.add("${spec.id} with ${spec.tasks} tasks began after $waitedMs ms")
+            }
             val elsewhere = workers.values.filter { it !== this && name in it.holding() }
             if (elsewhere.isNotEmpty()) broken.add("ran_twice: $name on $id and ${elsewhere.map { it.id }}")
             if (spot && !spec.spot) broken.add("wrong_place: $name on spot machine $id")
-            val sameJob = workers.values.flatMap { worker -> worker.holding().values.filter { it.first == spec.id }.map { worker.zone } }
-            spec.awaits.orEmpty().filterNot(::whole).let { if (it.isNotEmpty()) broken.add("too_early: $name starts before $it") }
+            val sameJob = workers.values.flatMap { worker ->
+                worker.holding().values.filter { it.first == spec.id }.map { worker.zone }
+            }
+            spec.awaits.orEmpty().filterNot(::whole).let {
+                if (it.isNotEmpty()) broken.add("too_early: $name starts before $it")
+            }
             if (spec.zone != null && spec.zone != zone) broken.add("wrong_place: $name in $zone")
-            if (spec.oneZone && sameJob.any { it != zone }) broken.add("wrong_place: $name in $zone, others in $sameJob")
-            if (spec.spread && sameJob.count { it == zone } + 1 > spec.perZoneLimit) broken.add("wrong_place: too many of ${spec.id} in $zone")
+            if (spec.oneZone &&
+                sameJob.any { it != zone }
+            ) {
+                broken.add("wrong_place: $name in $zone, others in $sameJob")
+            }
+            if (spec.spread &&
+                sameJob.count { it == zone } + 1 > spec.perZoneLimit
+            ) {
+                broken.add("wrong_place: too many of ${spec.id} in $zone")
+            }
             if (spec.id in cancelledAt) startsAfterCancel++
             cancelledAt[spec.id]?.let { if (nowMs() - it > CANCEL_S * 1000) broken.add("ran_cancelled: $name starts") }
             val limit = limits.getValue(spec.team)
-            val used = workers.values.flatMap { it.holding().values }.map { specs.getValue(it.first) }.filter { it.team == spec.team }.sumOf { it.cores }
-            if (limit > 0 && used + spec.cores > limit + 1e-6) broken.add("quota: ${spec.team} uses ${used + spec.cores}")
+            val used = workers.values.flatMap { it.holding().values }.map { specs.getValue(it.first) }.filter {
+                it.team ==
+                    spec.team
+            }.sumOf { it.cores }
+            if (limit > 0 &&
+                used + spec.cores > limit + 1e-6
+            ) {
+                broken.add("quota: ${spec.team} uses ${used + spec.cores}")
+            }
         }
 
         private suspend fun turn() {
@@ -485,14 +639,18 @@
             advance()
             val report = Report(
                 id, "x", "big", zone, spot, session, ++seq, token, null,
-                tasks.entries.map { TaskReport(it.key.substringBeforeLast('#'), it.value.attempt, it.value.state, it.value.cause) },
+                tasks.entries.map {
+                    TaskReport(it.key.substringBeforeLast('#'), it.value.attempt, it.value.state, it.value.cause)
+                },
             )
             val sent = nowMs()
             val body = WireJson.encodeToString(Report.serializer(), report).encodeToByteArray()
             val to = node
-            if (random.nextDouble() < copies) scope.launch {
-                delay(1_000 + random.nextLong((LEASE_S * 2_500).toLong()))
-                ask(if (random.nextBoolean()) to else nodes.random(random), "POST", "/v1/report", body, 4_000)
+            if (random.nextDouble() < copies) {
+                scope.launch {
+                    delay(1_000 + random.nextLong((LEASE_S * 2_500).toLong()))
+                    ask(if (random.nextBoolean()) to else nodes.random(random), "POST", "/v1/report", body, 4_000)
+                }
             }
             val response = when {
                 held(zone, to) -> {
@@ -504,16 +662,25 @@
                     delay(4_000)
                     null
                 }
+
                 mute -> {
                     delay(4_000)
                     null
                 }
+
                 unreached || random.nextDouble() < lostAnswers -> {
                     ask(to, "POST", "/v1/report", body, 4_000)
                     delay(random.nextLong(4_000))
                     null
                 }
-                else -> ask(to, "POST", "/v1/report", body, 4_000).also { if (answerMs > 0) delay(random.nextLong(answerMs)) }
+
+                else -> ask(to, "POST", "/v1/report", body, 4_000).also {
+                    if (answerMs >
+                        0
+                    ) {
+                        delay(random.nextLong(answerMs))
+                    }
+                }
             }
             if (nowMs() < hungUntilMs) delay(hungUntilMs - nowMs())
             // Whatever comes later than this is dropped, also by a machine that hung meanwhile.
@@ -526,7 +693,13 @@
                 answeredMs = sent
                 commands.commands.forEach(::execute)
             } else {
-                val other = if (response?.status == 421) WireJson.decodeFromString(Redirect.serializer(), response.body.decodeToString()).reportTo else null
+                val other = if (response?.status ==
+                    421
+                ) {
+                    WireJson.decodeFromString(Redirect.serializer(), response.body.decodeToString()).reportTo
+                } else {
+                    null
+                }
                 if (other == null || other == node) delay(1_000)
                 node = other?.takeIf { it != node } ?: nodes[(nodes.indexOf(node) + 1) % nodes.size]
             }
@@ -539,14 +712,27 @@
                     val job = command.task.substringBefore('/')
                     val cores = tasks.values.filter { it.state != "exited" }.sumOf { specs.getValue(it.job).cores }
                     val cause = when {
-                        tasks.any { it.key.substringBeforeLast('#') == command.task && it.value.state != "exited" } -> "busy"
+                        tasks.any {
+                            it.key.substringBeforeLast('#') == command.task && it.value.state != "exited"
+                        } -> "busy"
+
                         cores + specs.getValue(job).cores > 8.0 -> "no_room"
+
                         faulty -> "error"
+
                         else -> null
                     }
-                    tasks[key] = Held(job, command.attempt, if (cause == null) "fetching" else "exited", cause, nowMs() + 500)
+                    tasks[key] =
+                        Held(job, command.attempt, if (cause == null) "fetching" else "exited", cause, nowMs() + 500)
                 }
-                "halt" -> tasks[key]?.let { if (it.state != "exited") { it.state = "exited"; it.cause = "stopped" } }
+
+                "halt" -> tasks[key]?.let {
+                    if (it.state != "exited") {
+                        it.state = "exited"
+                        it.cause = "stopped"
+                    }
+                }
+
                 "forget" -> if (tasks[key]?.state == "exited") tasks.remove(key)
             }
         }
@@ -572,10 +758,17 @@
     private fun lookForRoom(id: String, spec: JobSpec) {
         val over = told[id] == "done" || told[id] == "aborted" || id !in acceptedAt
         val here = workers.values.flatMap { worker -> worker.shown().filter { it.startsWith("$id/") } }.toSet()
-        val waits = !over && spec.awaits.orEmpty().all(::whole) && (0 until spec.tasks).any { "$id/$it" !in completed && "$id/$it" !in here }
-        val used = workers.values.flatMap { it.holding().values }.map { specs.getValue(it.first) }.filter { it.team == spec.team }.sumOf { it.cores }
+        val waits =
+            !over && spec.awaits.orEmpty().all(::whole) &&
+                (0 until spec.tasks).any { "$id/$it" !in completed && "$id/$it" !in here }
+        val used = workers.values.flatMap { it.holding().values }.map { specs.getValue(it.first) }.filter {
+            it.team ==
+                spec.team
+        }.sumOf { it.cores }
         val limit = limits.getValue(spec.team)
-        val place = waits && (limit <= 0 || used + spec.cores <= limit) && workers.values.any { it.sound && it.freeCores >= spec.cores && allowed(spec, it) }
+        val place =
+            waits && (limit <= 0 || used + spec.cores <= limit) &&
+                workers.values.any { it.sound && it.freeCores >= spec.cores && allowed(spec, it) }
         if (!place) {
             roomySince.remove(id)
         } else if (nowMs() - roomySince.getOrPut(id) { nowMs() } > STARVED_MS) {
@@ -584,8 +777,11 @@
     }
 
     private fun allowed(spec: JobSpec, worker: Worker): Boolean {
-        if (worker.spot && !spec.spot || spec.zone != null && spec.zone != worker.zone) return false
-        val zones = workers.values.flatMap { other -> other.shown().filter { it.startsWith("${spec.id}/") }.map { other.zone } }
-        return !(spec.oneZone && zones.any { it != worker.zone }) && !(spec.spread && zones.count { it == worker.zone } + 1 > spec.perZoneLimit)
+        if ((worker.spot && !spec.spot) || (spec.zone != null && spec.zone != worker.zone)) return false
+        val zones = workers.values.flatMap { other ->
+            other.shown().filter { it.startsWith("${spec.id}/") }.map { other.zone }
+        }
+        return !(spec.oneZone && zones.any { it != worker.zone }) &&
+            !(spec.spread && zones.count { it == worker.zone } + 1 > spec.perZoneLimit)
     }
 }
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -112,7 +112,10 @@
                 state.lossy = 0.0
             },
             Case("machines hang and go on within their lease, and after it") {
-                machines().forEachIndexed { index, worker -> worker.hungUntilMs = machines().first().bornMs + 12_000 + 5_000L * (index % 5) }
+                machines().forEachIndexed { index, worker ->
+                    worker.hungUntilMs =
+                        machines().first().bornMs + 12_000 + 5_000L * (index % 5)
+                }
                 delay(20_000)
             },
             Case("machines hang while their controller restarts") {
@@ -126,13 +129,44 @@
                 repeat(12) {
                     val node = nodes.random(random)
                     when (random.nextInt(7)) {
-                        0 -> scope.launch { state.refusedFor = node; delay(8_000 + random.nextLong(25_000)); state.refusedFor = null }
-                        1 -> scope.launch { cutNodes.add(node); delay(2_000 + random.nextLong(25_000)); cutNodes.remove(node) }
-                        2 -> scope.launch { crash(node); delay(200 + random.nextLong(6_000)); startNode(node) }
+                        0 -> scope.launch {
+                            state.refusedFor = node
+                            delay(8_000 + random.nextLong(25_000))
+                            state.refusedFor =
+                                null
+                        }
+
+                        1 -> scope.launch {
+                            cutNodes.add(node)
+                            delay(2_000 + random.nextLong(25_000))
+                            cutNodes.remove(node)
+                        }
+
+                        2 -> scope.launch {
+                            crash(node)
+                            delay(200 + random.nextLong(6_000))
+                            startNode(node)
+                        }
+
                         3 -> machines().shuffled(random).take(2).forEach { it.hang(3_000 + random.nextLong(25_000)) }
-                        4 -> scope.launch { state.lossy = 0.3; delay(8_000); state.lossy = 0.0 }
-                        5 -> scope.launch { lostAnswers = 0.5; delay(6_000); lostAnswers = 0.0 }
-                        6 -> scope.launch { state.outage(true); delay(3_000 + random.nextLong(20_000)); state.outage(false) }
+
+                        4 -> scope.launch {
+                            state.lossy = 0.3
+                            delay(8_000)
+                            state.lossy = 0.0
+                        }
+
+                        5 -> scope.launch {
+                            lostAnswers = 0.5
+                            delay(6_000)
+                            lostAnswers = 0.0
+                        }
+
+                        6 -> scope.launch {
+                            state.outage(true)
+                            delay(3_000 + random.nextLong(20_000))
+                            state.outage(false)
+                        }
                     }
                     delay(random.nextLong(8_000))
                 }
@@ -189,7 +223,11 @@
                 val before = starts
                 for (id in 201..212) user(spec(id, 3, 2.0))
                 delay(30_000)
-                if (starts == before || nodes.any { removals(it) > 0 }) broken.add("the way round by another controller does not serve")
+                if (starts == before ||
+                    nodes.any { removals(it) > 0 }
+                ) {
+                    broken.add("the way round by another controller does not serve")
+                }
                 state.refusedFor = null
             },
             Case("in an outage no node leaves the balancer's choice") {
@@ -236,7 +274,11 @@
                 crash("holt-a")
                 crash("holt-b")
                 delay(9_000)
-                if (owners().values.toSet() != setOf("holt-c")) broken.add("crashed controllers still own parts: ${owners()}")
+                if (owners().values.toSet() !=
+                    setOf("holt-c")
+                ) {
+                    broken.add("crashed controllers still own parts: ${owners()}")
+                }
                 startNode("holt-a")
                 delay(30_000)
                 if ("holt-a" !in owners().values) broken.add("a controller that came back got no part: ${owners()}")
@@ -279,11 +321,34 @@
                 val owner = owners()["a"]
                 cut(null)
                 delay(8_000)
-                if (owner == "holt-a" || owners()["a"] != owner) broken.add("the part of a went from $owner to ${owners()["a"]}")
+                if (owner == "holt-a" ||
+                    owners()["a"] != owner
+                ) {
+                    broken.add("the part of a went from $owner to ${owners()["a"]}")
+                }
             },
-            Case("hundreds of machines: a wave of losses, then all controllers crash in a burst and again in the middle of their claims", capacity = 60) {
+            Case(
+                "hundreds of machines: a wave of losses, then all controllers crash in a burst and again in the middle of their claims",
+                capacity = 60,
+            ) {
                 for (zone in zones) repeat(100) { boot(zone, spot = it % 2 == 0) }
-                for (id in 201..240) user(spec(id, 30, 6.0 + id % 5, if (id % 3 == 0) "bulk" else "urgent", if (id % 3 == 0) Priority.BEST_EFFORT else Priority.HIGH))
+                for (id in 201..240) {
+                    user(
+                        spec(
+                            id,
+                            30,
+                            6.0 + id % 5,
+                            if (id % 3 ==
+                                0
+                            ) {
+                                "bulk"
+                            } else {
+                                "urgent"
+                            },
+                            if (id % 3 == 0) Priority.BEST_EFFORT else Priority.HIGH,
+                        ),
+                    )
+                }
                 delay(8_000)
                 machines().filter { it.spot }.shuffled(random).take(60).forEach { take(it) }
                 delay(2_000)
@@ -301,7 +366,10 @@
                 delay(20_000)
                 copies = 0.0
             },
-            Case("hundreds of machines: an owner stands still, then all workers come to the one controller left", capacity = 60) {
+            Case(
+                "hundreds of machines: an owner stands still, then all workers come to the one controller left",
+                capacity = 60,
+            ) {
                 for (zone in zones) repeat(100) { boot(zone, spot = it % 2 == 0) }
                 for (id in 201..240) user(spec(id, 30, 40.0 + id % 5))
                 delay(16_000)
@@ -317,7 +385,11 @@
                 crash("holt-a")
                 crash("holt-b")
                 delay(14_000)
-                if (owners().values.toSet() != setOf("holt-c")) broken.add("crashed controllers still own parts: ${owners()}")
+                if (owners().values.toSet() !=
+                    setOf("holt-c")
+                ) {
+                    broken.add("crashed controllers still own parts: ${owners()}")
+                }
                 startNode("holt-a")
                 startNode("holt-b")
             },
--- a/src/test/kotlin/io/otterknot/FormatTest.kt
+++ b/src/test/kotlin/io/otterknot/FormatTest.kt
@@ -34,22 +34,34 @@
     private fun json(text: String): JsonElement = WireJson.parseToJsonElement(text)
 
     private val productionJob = json(
-        """{"s":{"Uid":"j-000412","Ilk":"train","Crew":"red","Rank":"high","Chores":16,"Cores":8.0,"Cards":0.0,"MemoryGb":64.0,"Pelt":"img-07",""" +
-            """"SizeGb":6.2,"SamePlace":false,"Scatter":false,"Driftwood":true,"GuessS":240.0,"CacheS":0.0,"StashS":0.0,"DueS":900.0},""" +
+        """{"s":{"Uid":"j-000412","Ilk":"train","Crew":"red","Rank":"high","Chores":16,"Cores":8.0,""" +
+            """"Cards":0.0,"MemoryGb":64.0,"Pelt":"img-07","SizeGb":6.2,"SamePlace":false,"Scatter":false,""" +
+            """"Driftwood":true,"GuessS":240.0,"CacheS":0.0,"StashS":0.0,"DueS":900.0},""" +
             """"a":[{"z":"a","f":0,"u":10},{"z":"b","f":10,"u":16}],"t":1700000000000,"n":"1x2y","c":0}""",
     )
 
     @Test
     fun `records as production wrote them are read, and written back alike`() {
         val job = decodeRecord(JobRecord.serializer(), productionJob)
-        assertEquals(listOf("j-000412", 16, null, null, null), listOf(job.spec!!.id, job.spec!!.tasks, job.spec!!.awaits, job.awaitKeys, job.endedMs))
+        assertEquals(
+            listOf("j-000412", 16, null, null, null),
+            listOf(job.spec!!.id, job.spec!!.tasks, job.spec!!.awaits, job.awaitKeys, job.endedMs),
+        )
         assertEquals("a", job.homeZone)
-        assertEquals(productionJob, encodeRecord(JobRecord.serializer(), job), "a handover of a job that awaits nothing brings no new field")
+        assertEquals(
+            productionJob,
+            encodeRecord(JobRecord.serializer(), job),
+            "a handover of a job that awaits nothing brings no new field",
+        )
         val final = decodeRecord(JobRecord.serializer(), json("""{"a":[],"t":0,"x":"d","c":16}"""))
         assertEquals(listOf(Final.DONE, 16, null), listOf(final.final, final.tasks, final.endedMs))
-        assertEquals(DoneRecord(mapOf("j-000412" to "Aw")), decodeRecord(DoneRecord.serializer(), json("""{"d":{"j-000412":"Aw"}}""")))
+        assertEquals(
+            DoneRecord(mapOf("j-000412" to "Aw")),
+            decodeRecord(DoneRecord.serializer(), json("""{"d":{"j-000412":"Aw"}}""")),
+        )
         for ((text, serializer) in listOf(
-            """{"m":{"m-000001":"big"}}""" to MachinesRecord.serializer(), """{"o":"holt-0","i":"3k"}""" to PartRecord.serializer(),
+            """{"m":{"m-000001":"big"}}""" to MachinesRecord.serializer(),
+            """{"o":"holt-0","i":"3k"}""" to PartRecord.serializer(),
             """{"m":0.5,"c":64.0,"om":0.25,"oc":16.0,"n":{"red":{"c":3.0,"g":0.0}}}""" to MeanRecord.serializer(),
             """{"z":{"a":{"c":4.0,"g":0.0},"b":{"c":8.0,"g":0.0}}}""" to AllotmentRecord.serializer(),
         )) {
@@ -57,7 +69,13 @@
             val any = serializer as kotlinx.serialization.KSerializer<Any>
             assertEquals(json(text), encodeRecord(any, decodeRecord(any, json(text))))
         }
-        assertEquals(Amount(12.0), decodeRecord(AllotmentRecord.serializer(), json("""{"z":{"a":{"c":4.0,"g":0.0},"b":{"c":8.0,"g":0.0}}}""")).byZone.values.reduce(Amount::plus))
+        assertEquals(
+            Amount(12.0),
+            decodeRecord(
+                AllotmentRecord.serializer(),
+                json("""{"z":{"a":{"c":4.0,"g":0.0},"b":{"c":8.0,"g":0.0}}}"""),
+            ).byZone.values.reduce(Amount::plus),
+        )
     }
 
     /** Production drops what it does not know: nothing that it relies on may stand there. */
@@ -67,18 +85,31 @@
         val end = JobChanges.end(job, Final.DONE, 5_000).single()
         assertEquals(json("""{"a":[],"t":0,"x":"d","c":16}"""), ProductionCodec.record(end.key, end.value!!))
         val waiting = JobRecord(
-            JobSpec("j-1", "k", "red", Priority.HIGH, 2, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0, awaits = listOf("j-2")),
-            listOf(Span("a", 0, 2)), awaitKeys = 2,
+            JobSpec(
+                "j-1", "k", "red", Priority.HIGH, 2, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
+                awaits = listOf(
+                    "j-2",
+                ),
+            ),
+            listOf(Span("a", 0, 2)),
+            awaitKeys = 2,
         )
         val read = ProductionCodec.record(Keys.job("j-1"), encodeRecord(JobRecord.serializer(), waiting)).jsonObject
         assertTrue("w" !in read && "Awaits" !in read.getValue("s").jsonObject)
-        assertEquals(waiting.copy(spec = waiting.spec!!.copy(awaits = null), awaitKeys = null), decodeRecord(JobRecord.serializer(), read))
+        assertEquals(
+            waiting.copy(spec = waiting.spec!!.copy(awaits = null), awaitKeys = null),
+            decodeRecord(JobRecord.serializer(), read),
+        )
     }
 
     /** With chunks of the usual size the last ones of a large job alone would pass a value of 2 KiB. */
     @Test
     fun `completions of a large job are kept in small chunks, beside those that production reads`() {
-        val tasks = BitSet().also { it.set(0, 100); it.set(16_000); it.set(90_001) }
+        val tasks = BitSet().also {
+            it.set(0, 100)
+            it.set(16_000)
+            it.set(90_001)
+        }
         assertEquals(TaskBits.FINE_CHUNK, TaskBits.chunkOf(100_000))
         val size = TaskBits.FINE_CHUNK
         val fine = (0..90_001 / size).associate { TaskBits.name("j-1", it) to TaskBits.encode(tasks, it, size) }
@@ -86,10 +117,32 @@
         val table = JobTable()
         val record = DoneRecord(mapOf("j-2" to "Aw"), fine)
         val value = encodeRecord(DoneRecord.serializer(), record)
-        assertEquals(setOf("j-1", "j-2"), table.changeDone(Keys.done("a", "7-0"), Entry(value, 1)).map { it.id }.toSet())
-        for (id in listOf("j-1", "j-2")) table.changeJob(Keys.job(id), Entry(encodeRecord(JobRecord.serializer(), JobRecord(decodeRecord(JobRecord.serializer(), productionJob).spec)), 2))
+        assertEquals(
+            setOf("j-1", "j-2"),
+            table.changeDone(Keys.done("a", "7-0"), Entry(value, 1)).map {
+                it.id
+            }.toSet(),
+        )
+        for (id in listOf(
+            "j-1",
+            "j-2",
+        )) {
+            table.changeJob(
+                Keys.job(id),
+                Entry(
+                    encodeRecord(
+                        JobRecord.serializer(),
+                        JobRecord(decodeRecord(JobRecord.serializer(), productionJob).spec),
+                    ),
+                    2,
+                ),
+            )
+        }
         assertEquals(tasks, table["j-1"]!!.done)
-        assertEquals(DoneRecord(mapOf("j-2" to "Aw")), decodeRecord(DoneRecord.serializer(), ProductionCodec.record("o/d/a/7-0", value)))
+        assertEquals(
+            DoneRecord(mapOf("j-2" to "Aw")),
+            decodeRecord(DoneRecord.serializer(), ProductionCodec.record("o/d/a/7-0", value)),
+        )
     }
 
     @Test
--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -26,7 +26,11 @@
         }
 
         private fun gaps() = listOf(300L, 900L, 1_400L, 2_000L, 6_000L, 14_000L).map { apart ->
-            Case("cancelled while the state service refuses one owner alone, then it is out for longer than cancel_s: $apart ms apart", seeds = 1, mixture = false) {
+            Case(
+                "cancelled while the state service refuses one owner alone, then it is out for longer than cancel_s: $apart ms apart",
+                seeds = 1,
+                mixture = false,
+            ) {
                 longWork()
                 state.refusedFor = "holt-a"
                 delay(50)
@@ -40,7 +44,11 @@
         }
 
         /** The latest that a fence can end: just before everything is lost, the owner was told that all is well. */
-        private fun gapAfterRenewal() = Case("the same right after a renewal, so that the owner may act for as long as it ever may", seeds = 3, mixture = false) {
+        private fun gapAfterRenewal() = Case(
+            "the same right after a renewal, so that the owner may act for as long as it ever may",
+            seeds = 3,
+            mixture = false,
+        ) {
             longWork()
             while (nowMs() - (state.renewedMs["holt-a"] ?: 0) > 20) delay(5)
             delay(400)
@@ -54,7 +62,12 @@
         }
 
         private fun atLimit() = listOf(200L, 1_500L, 4_000L).map { apart ->
-            Case("a team at its limit, its leader ends, machines can't be asked, and a job is called off $apart ms before", teamLimit = 16.0, seeds = 2, mixture = false) {
+            Case(
+                "a team at its limit, its leader ends, machines can't be asked, and a job is called off $apart ms before",
+                teamLimit = 16.0,
+                seeds = 2,
+                mixture = false,
+            ) {
                 for (id in 202..216 step 2) user(spec(id, 3, 30.0))
                 delay(9_000)
                 machines().filter { it.zone == "a" }.take(1).forEach { it.unreached = true }
@@ -71,7 +84,11 @@
         }
 
         private fun isolated() = listOf(1_000L, 8_000L, 15_000L).map { apart ->
-            Case("a leader loses state service and peers but not its workers, and jobs are called off through the new one after $apart ms", seeds = 1, mixture = false) {
+            Case(
+                "a leader loses state service and peers but not its workers, and jobs are called off through the new one after $apart ms",
+                seeds = 1,
+                mixture = false,
+            ) {
                 longWork()
                 state.refusedFor = "holt-a"
                 peerless.add("holt-a")
@@ -85,7 +102,11 @@
 
         @JvmStatic
         fun cases() = gaps() + gapAfterRenewal() + atLimit() + isolated() + listOf(
-            Case("a node's watch stands still while all else that it asks is answered, and jobs are called off", seeds = 2, mixture = false) {
+            Case(
+                "a node's watch stands still while all else that it asks is answered, and jobs are called off",
+                seeds = 2,
+                mixture = false,
+            ) {
                 // By its renewals alone it would go on answering its workers, and never learn of what was called off.
                 longWork()
                 state.watchless = "holt-a"
@@ -94,7 +115,11 @@
                 delay(50_000)
                 state.watchless = null
             },
-            Case("a node that has lost its lease gets another while its watch stands still", seeds = 2, mixture = false) {
+            Case(
+                "a node that has lost its lease gets another while its watch stands still",
+                seeds = 2,
+                mixture = false,
+            ) {
                 longWork()
                 state.watchless = "holt-a"
                 cancelNow(4)
@@ -161,7 +186,11 @@
                 for (id in 301..320) user(spec(id * 7, 2, 20.0, "bulk", Priority.BEST_EFFORT))
                 delay(1_500)
                 // Urgent work that may run nowhere else fills the zone for longer than anything may wait.
-                for (id in listOf(401, 402, 403, 404, 407, 408, 409, 411, 412, 414, 416)) user(spec(id, 3, 260.0, zone = "a").copy(spread = false, oneZone = false))
+                for (id in listOf(401, 402, 403, 404, 407, 408, 409, 411, 412, 414, 416)) {
+                    user(
+                        spec(id, 3, 260.0, zone = "a").copy(spread = false, oneZone = false),
+                    )
+                }
                 delay(10_000)
             },
             Case("all controllers are away for longer than a lease", mixture = false) {
@@ -245,7 +274,10 @@
                 delay(25_000)
                 machines().forEach { it.mute = false }
             },
-            Case("a zone with workers and a controller is cut off for longer than a lease, and jobs are called off", mixture = false) {
+            Case(
+                "a zone with workers and a controller is cut off for longer than a lease, and jobs are called off",
+                mixture = false,
+            ) {
                 longWork()
                 cut("a")
                 delay(1_000)
@@ -253,7 +285,10 @@
                 delay(50_000)
                 cut(null)
             },
-            Case("a leader ends while machines with long tasks can't be reached or don't hear the new one's answer", mixture = false) {
+            Case(
+                "a leader ends while machines with long tasks can't be reached or don't hear the new one's answer",
+                mixture = false,
+            ) {
                 longWork(runS = 40.0)
                 machines().filter { it.zone == "a" }.forEach { it.unreached = true }
                 machines().filter { it.zone == "b" }.take(1).forEach { it.hang(9_000) }
@@ -281,7 +316,23 @@
             },
             Case("more work than room, urgent and not, over slow links") {
                 answerMs = 3_000
-                for (id in 201..230) user(spec(id, 4, 6.0, if (id % 3 == 0) "bulk" else "urgent", if (id % 3 == 0) Priority.BEST_EFFORT else Priority.HIGH))
+                for (id in 201..230) {
+                    user(
+                        spec(
+                            id,
+                            4,
+                            6.0,
+                            if (id % 3 ==
+                                0
+                            ) {
+                                "bulk"
+                            } else {
+                                "urgent"
+                            },
+                            if (id % 3 == 0) Priority.BEST_EFFORT else Priority.HIGH,
+                        ),
+                    )
+                }
                 delay(60_000)
                 cancelNow(6)
                 answerMs = 0
--- a/src/test/kotlin/io/otterknot/OddRequestTest.kt
+++ b/src/test/kotlin/io/otterknot/OddRequestTest.kt
@@ -24,6 +24,10 @@
 /** What users ask that they should not, and what they ask twice. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class OddRequestTest {
+    private val requiredFields =
+        "Uid Ilk Crew Sort Rank Chores Cores Cards MemoryGb Pelt SizeGb SamePlace Scatter Driftwood GuessS CacheS StashS"
+            .split(' ')
+
     private fun onCluster(work: suspend ClusterStandIn.() -> Unit) = runTest(timeout = 2.minutes) {
         coroutineScope {
             val cluster = ClusterStandIn(this, 1, { testScheduler.currentTime }, teamLimit = 12.0)
@@ -35,19 +39,31 @@
         }
     }
 
-    private suspend fun ClusterStandIn.send(method: String, path: String, body: ByteArray = ByteArray(0)): HttpResponse =
-        controller(nodes.random(random)).route(HttpRequest(method, path, body))
+    private suspend fun ClusterStandIn.send(
+        method: String,
+        path: String,
+        body: ByteArray = ByteArray(0),
+    ): HttpResponse = controller(nodes.random(random)).route(HttpRequest(method, path, body))
 
     private fun HttpResponse.state() = WireJson.decodeFromString(JobStatus.serializer(), body.decodeToString()).state
 
     private fun HttpResponse.why() = WireJson.decodeFromString(Refusal.serializer(), body.decodeToString()).error
 
-    private fun ClusterStandIn.fields(id: Int): JsonObject = WireJson.parseToJsonElement(body(spec(id, 2)).decodeToString()).jsonObject
+    private fun ClusterStandIn.fields(id: Int): JsonObject =
+        WireJson.parseToJsonElement(body(spec(id, 2)).decodeToString()).jsonObject
 
-    private fun JsonObject.but(name: String, value: JsonPrimitive?) = (if (value == null) JsonObject(this - name) else JsonObject(this + (name to value))).toString().encodeToByteArray()
+    private fun JsonObject.but(name: String, value: JsonPrimitive?) = (
+        if (value ==
+            null
+        ) {
+            JsonObject(this - name)
+        } else {
+            JsonObject(this + (name to value))
+        }
+        ).toString().encodeToByteArray()
 
     @Test
-    fun `what lacks a field or is out of range is refused by name, what can never run with 422, and neither is known afterwards`() = onCluster {
+    fun `what lacks a field is refused by name, what can never run with 422, and neither is known later`() = onCluster {
         var id = 500
         suspend fun refused(status: Int, field: String, value: JsonPrimitive?) {
             val spec = fields(++id)
@@ -56,23 +72,60 @@
             assertTrue(status == 422 || field in answer.why(), answer.why())
             assertEquals(404, send("GET", "/submissions/j-000$id").status)
         }
-        for (field in listOf("Uid", "Ilk", "Crew", "Sort", "Rank", "Chores", "Cores", "Cards", "MemoryGb", "Pelt", "SizeGb", "SamePlace", "Scatter", "Driftwood", "GuessS", "CacheS", "StashS")) {
+        for (field in requiredFields) {
             refused(400, field, null)
             refused(400, field, JsonNull)
-            refused(400, field, if (fields(1).getValue(field).toString().startsWith('"')) JsonPrimitive(7) else JsonPrimitive("x"))
+            refused(
+                400,
+                field,
+                if (fields(1).getValue(field).toString().startsWith('"')) JsonPrimitive(7) else JsonPrimitive("x"),
+            )
+        }
+        for (field in listOf("Chores", "Cores", "Cards", "MemoryGb", "SizeGb", "GuessS", "CacheS", "StashS", "DueS")) {
+            refused(
+                400,
+                field,
+                JsonPrimitive(-1),
+            )
+        }
+        for ((field, value) in listOf(
+            "Cores" to 9.0,
+            "Cores" to 12.5,
+            "MemoryGb" to 65.0,
+            "Cards" to 1.0,
+        )) {
+            refused(422, field, JsonPrimitive(value))
         }
-        for (field in listOf("Chores", "Cores", "Cards", "MemoryGb", "SizeGb", "GuessS", "CacheS", "StashS", "DueS")) refused(400, field, JsonPrimitive(-1))
-        for ((field, value) in listOf("Cores" to 9.0, "Cores" to 12.5, "MemoryGb" to 65.0, "Cards" to 1.0)) refused(422, field, JsonPrimitive(value))
         refused(422, "Crew", JsonPrimitive("green"))
         refused(422, "Reach", JsonPrimitive("nowhere"))
-        for (body in listOf("", "[]", "{", "7")) assertEquals(400, send("POST", "/submissions", body.encodeToByteArray()).status)
+        for (body in listOf(
+            "",
+            "[]",
+            "{",
+            "7",
+        )) {
+            assertEquals(400, send("POST", "/submissions", body.encodeToByteArray()).status)
+        }
         assertEquals(0, starts)
     }
 
     @Test
     fun `a path that is none gets 404, a method that is none 405 with the one that is`() = onCluster {
-        for (path in listOf("/", "/submissions/", "/submissions/x/y", "/do", "/submissions/j-1/withdraw/now")) assertEquals(404, send("GET", path).status, path)
-        for ((method, path, allowed) in listOf(Triple("GET", "/submissions", "POST"), Triple("POST", "/submissions/j-000001", "GET"), Triple("GET", "/submissions/j-000001/withdraw", "POST"), Triple("POST", "/ready", "GET"))) {
+        for (path in listOf(
+            "/",
+            "/submissions/",
+            "/submissions/x/y",
+            "/do",
+            "/submissions/j-1/withdraw/now",
+        )) {
+            assertEquals(404, send("GET", path).status, path)
+        }
+        for ((method, path, allowed) in listOf(
+            Triple("GET", "/submissions", "POST"),
+            Triple("POST", "/submissions/j-000001", "GET"),
+            Triple("GET", "/submissions/j-000001/withdraw", "POST"),
+            Triple("POST", "/ready", "GET"),
+        )) {
             val answer = send(method, path)
             assertEquals(405 to allowed, answer.status to answer.allow, path)
         }
@@ -82,21 +135,35 @@
         }
     }
 
-    /** A repeat may come at any time, spoilt on the way or asking for what would be refused now: what is known is never refused. */
+    /**
+     * A repeat may come at any time, spoilt on the way or asking for what would be refused now: what is known is never
+     * refused.
+     */
     @Test
     fun `what is known is answered with its state, however it is asked`() = onCluster {
         val good = body(expect(spec(601, 2, 3.0)))
         assertEquals(201, send("POST", "/submissions", good).status)
         val spoilt = fields(601).but("Cores", JsonPrimitive(-1))
         suspend fun all(vararg states: String) {
-            for (answer in listOf(send("POST", "/submissions", good), send("POST", "/submissions", spoilt), send("GET", "/submissions/j-000601"))) {
-                assertTrue(answer.status == 200 && answer.state() in states, "${answer.status} ${answer.body.decodeToString()}")
+            for (answer in listOf(
+                send("POST", "/submissions", good),
+                send("POST", "/submissions", spoilt),
+                send("GET", "/submissions/j-000601"),
+            )) {
+                assertTrue(
+                    answer.status == 200 && answer.state() in states,
+                    "${answer.status} ${answer.body.decodeToString()}",
+                )
             }
         }
         all("queued", "running")
         delay(20_000)
         all("done")
-        assertEquals("done", send("POST", "/submissions/j-000601/withdraw").state(), "what is done is not cancelled any more")
+        assertEquals(
+            "done",
+            send("POST", "/submissions/j-000601/withdraw").state(),
+            "what is done is not cancelled any more",
+        )
         all("done")
         send("POST", "/submissions", body(expect(spec(603, 2, 30.0))))
         assertEquals("aborted", send("POST", "/submissions/j-000603/withdraw").state())
@@ -105,24 +172,28 @@
     }
 
     @Test
-    fun `while the state service is away what is not known for sure is refused at once, with the time to come back`() = onCluster {
-        send("POST", "/submissions", body(expect(spec(611, 2, 60.0))))
-        state.outage(true)
-        delay(3_000)
-        for ((method, path, body) in listOf(
-            Triple("POST", "/submissions", body(spec(612, 1))), Triple("GET", "/submissions/j-000611", ByteArray(0)),
-            Triple("GET", "/submissions/j-000999", ByteArray(0)), Triple("POST", "/submissions/j-000611/withdraw", ByteArray(0)),
-            Triple("POST", "/submissions", fields(613).but("Cores", null)),
-        )) {
-            val answer = send(method, path, body)
-            assertTrue(answer.status == 503 && answer.retryAfterS != null, "$method $path: ${answer.status}")
+    fun `while the state service is away what is not known for sure is refused at once, with the time to come back`() =
+        onCluster {
+            send("POST", "/submissions", body(expect(spec(611, 2, 60.0))))
+            state.outage(true)
+            delay(3_000)
+            for ((method, path, body) in listOf(
+                Triple("POST", "/submissions", body(spec(612, 1))),
+                Triple("GET", "/submissions/j-000611", ByteArray(0)),
+                Triple("GET", "/submissions/j-000999", ByteArray(0)),
+                Triple("POST", "/submissions/j-000611/withdraw", ByteArray(0)),
+                Triple("POST", "/submissions", fields(613).but("Cores", null)),
+            )) {
+                val answer = send(method, path, body)
+                assertTrue(answer.status == 503 && answer.retryAfterS != null, "$method $path: ${answer.status}")
+            }
         }
-    }
 
     /** What it answers to a job that awaits others, before anything is known to have changed. */
     @Test
     fun `a job may await only what was accepted, and is cancelled with what it awaits`() = onCluster {
-        suspend fun submit(id: Int, vararg awaits: String) = send("POST", "/submissions", body(expect(spec(id, 1, 30.0).copy(awaits = awaits.toList()))))
+        suspend fun submit(id: Int, vararg awaits: String) =
+            send("POST", "/submissions", body(expect(spec(id, 1, 30.0).copy(awaits = awaits.toList()))))
         assertEquals(201, submit(701).status)
         for (unknown in listOf("j-000799", "j-000702", "j-701")) {
             val answer = submit(702, "j-000701", unknown)
@@ -130,7 +201,13 @@
             assertEquals(404, send("GET", "/submissions/j-000702").status)
         }
         assertEquals(201 to "queued", submit(702, "j-000701").let { it.status to it.state() })
-        assertEquals(200 to "queued", submit(702, "j-000799").let { it.status to it.state() }, "what is known is answered before that is looked at")
+        assertEquals(
+            200 to "queued",
+            submit(702, "j-000799").let {
+                it.status to it.state()
+            },
+            "what is known is answered before that is looked at",
+        )
         assertEquals(201 to "queued", submit(703, "j-000702", "j-000701").let { it.status to it.state() })
         delay(5_000)
         assertEquals(1, starts)
@@ -140,9 +217,20 @@
             assertEquals("aborted", send("POST", "/submissions/j-000$id/withdraw").state())
             assertEquals(200 to "aborted", submit(id).let { it.status to it.state() })
         }
-        assertEquals(201 to "aborted", submit(704, "j-000703").let { it.status to it.state() }, "it is accepted all the same")
+        assertEquals(
+            201 to "aborted",
+            submit(704, "j-000703").let {
+                it.status to it.state()
+            },
+            "it is accepted all the same",
+        )
         delay(10_000)
-        assertTrue(listOf(702, 703, 704).all { "\"x\":\"a\"" in state.value("o/j/j-000$it").toString() }, "and their final states are written")
+        assertTrue(
+            listOf(702, 703, 704).all {
+                "\"x\":\"a\"" in state.value("o/j/j-000$it").toString()
+            },
+            "and their final states are written",
+        )
         assertEquals(1, starts)
         state.outage(true)
         delay(3_000)
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -59,7 +59,14 @@
     fun `each part has one first claimant, its own zone's node if there is one`() {
         val domains = mapOf("n0" to "a", "n1" to "b", "n2" to "c")
         val zones = listOf("a", "b", "c", "d")
-        for (zone in zones) assertEquals(listOf(0, 1, 2), domains.keys.map { claimRank(zone, zones, it, domains) }.sorted())
+        for (zone in zones) {
+            assertEquals(
+                listOf(0, 1, 2),
+                domains.keys.map {
+                    claimRank(zone, zones, it, domains)
+                }.sorted(),
+            )
+        }
         assertEquals(0, claimRank("b", zones, "n1", domains))
     }
 
@@ -138,7 +145,9 @@
         assertEquals(0, strays.left("a", 35_000))
     }
 
-    /** With a fixed number, machines that hang and go on together would have a large part claimed from a sound owner. */
+    /**
+     * With a fixed number, machines that hang and go on together would have a large part claimed from a sound owner.
+     */
     @ParameterizedTest
     @CsvSource("6,3,3", "16,3,3", "315,5,24", "250,3,38", "470,5,36")
     fun `how many machines speak against an owner grows with its part`(machines: Int, nodes: Int, many: Int) =
@@ -156,7 +165,11 @@
 
     @Test
     fun `sets of tasks are kept in chunks`() {
-        val bits = BitSet().also { it.set(3); it.set(TaskBits.CHUNK - 1); it.set(TaskBits.CHUNK + 5) }
+        val bits = BitSet().also {
+            it.set(3)
+            it.set(TaskBits.CHUNK - 1)
+            it.set(TaskBits.CHUNK + 5)
+        }
         val read = BitSet()
         for (chunk in 0..1) TaskBits.decodeInto(TaskBits.encode(bits, chunk), chunk, read)
         assertEquals(bits, read)
@@ -212,28 +225,54 @@
 
     @Test
     fun `limits that will come are read, and what they do not name stays`() {
-        val state = SettingsFile.parse(good.replace("[facts.cloud]", "[facts.state.next]\nwrite_rps = 35.0\nvalue_kb = 2.0\n\n[facts.cloud]")).facts.state
-        assertEquals(listOf(2.0, 35.0, 150.0, 40.0), listOf(state.leastValueKb, state.leastWriteRps, state.leastRps, state.leastTxnOps.toDouble()))
+        val state = SettingsFile.parse(
+            good.replace("[facts.cloud]", "[facts.state.next]\nwrite_rps = 35.0\nvalue_kb = 2.0\n\n[facts.cloud]"),
+        ).facts.state
+        assertEquals(
+            listOf(2.0, 35.0, 150.0, 40.0),
+            listOf(state.leastValueKb, state.leastWriteRps, state.leastRps, state.leastTxnOps.toDouble()),
+        )
         assertEquals(8.0, SettingsFile.parse(good).facts.state.leastValueKb)
     }
 
     @Test
     fun `a deployment of five is read, and its zones have one first claimant each`() {
-        val more = (2..4).joinToString("") { "\n[[members]]\nlabel = \"n$it\"\ndomain = \"${"abc"[it % 3]}\"\nendpoint = \"127.0.0.1:900$it\"\n" }
-        val settings = SettingsFile.parse(good.replace("\n[endpoints]", "$more\n[endpoints]").replace("nodes = 2", "nodes = 5").replace("[\"a\", \"b\"]", "[\"a\", \"b\", \"c\"]"))
+        val more = (2..4).joinToString("") {
+            "\n[[members]]\nlabel = \"n$it\"\ndomain = \"${"abc"[it % 3]}\"\nendpoint = \"127.0.0.1:900$it\"\n"
+        }
+        val settings = SettingsFile.parse(
+            good.replace(
+                "\n[endpoints]",
+                "$more\n[endpoints]",
+            ).replace("nodes = 2", "nodes = 5").replace("[\"a\", \"b\"]", "[\"a\", \"b\", \"c\"]"),
+        )
         assertEquals(4, settings.members.size)
         val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
-        for (zone in settings.facts.zones) assertEquals((0..4).toList(), domains.keys.map { claimRank(zone, settings.facts.zones, it, domains) }.sorted())
+        for (zone in settings.facts.zones) {
+            assertEquals(
+                (0..4).toList(),
+                domains.keys.map {
+                    claimRank(zone, settings.facts.zones, it, domains)
+                }.sorted(),
+            )
+        }
     }
 
     @Test
     fun `many records share few keys, and only keys that change are written`() {
         val kept = mapOf(0 to mapOf("m1" to "g", "m2" to "g"), 1 to mapOf("m3" to "g"))
         assertEquals(emptyMap<Int, Any>(), Segments.spread(kept, emptySet(), mapOf("m2" to "g"), 2))
-        assertEquals(mapOf(1 to mapOf("m3" to "g", "m4" to "h")), Segments.spread(kept, emptySet(), mapOf("m4" to "h"), 2))
+        assertEquals(
+            mapOf(1 to mapOf("m3" to "g", "m4" to "h")),
+            Segments.spread(kept, emptySet(), mapOf("m4" to "h"), 2),
+        )
         val full = Segments.spread(kept, setOf("m3"), mapOf("m4" to "h", "m5" to "h", "m6" to "h"), 2)
         assertEquals(mapOf(1 to setOf("m4", "m5"), 2 to setOf("m6")), full.mapValues { it.value.keys })
-        assertEquals(mapOf(1 to emptyMap<String, String>()), Segments.spread(kept, setOf("m3"), emptyMap(), 2), "an empty one is to be removed")
+        assertEquals(
+            mapOf(1 to emptyMap<String, String>()),
+            Segments.spread(kept, setOf("m3"), emptyMap(), 2),
+            "an empty one is to be removed",
+        )
     }
 
     /** What was written when values could be larger: left alone until it changes, and then no name is ever in none. */
@@ -248,7 +287,12 @@
         // Only the first of them was written: the next round drops from the large one what is there already.
         val half = Segments.spread(large + mapOf(1 to split.getValue(1)), setOf("m2"), emptyMap(), 3)
         assertEquals(split.getValue(0), half.getValue(0))
-        assertEquals(large.values.flatMap { it.keys }.toSet() - "m2", (mapOf(1 to split.getValue(1)) + half).values.flatMap { it.keys }.toSet())
+        assertEquals(
+            large.values.flatMap {
+                it.keys
+            }.toSet() - "m2",
+            (mapOf(1 to split.getValue(1)) + half).values.flatMap { it.keys }.toSet(),
+        )
     }
 
     /** One refusal may be another node's doing; the second says that the limits are lower now. */
@@ -276,9 +320,30 @@
     @Test
     fun `completions are told once, whatever else their segment holds, and say nothing of jobs that are over`() {
         val table = JobTable()
-        val spec = JobSpec("j-1", "k", "t", Priority.HIGH, 4, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0)
-        fun job(id: String, final: Final?) = table.changeJob(Keys.job(id), Entry(encodeRecord(JobRecord.serializer(), JobRecord(spec.copy(id = id).takeIf { final == null }, final = final)), 1))
-        fun segment(bits: Map<String, String>) = table.changeDone(Keys.done("a", "7-0"), Entry(encodeRecord(DoneRecord.serializer(), DoneRecord(bits)), 2)).map { it.id }
+        val spec =
+            JobSpec("j-1", "k", "t", Priority.HIGH, 4, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0)
+        fun job(id: String, final: Final?) = table.changeJob(
+            Keys.job(id),
+            Entry(
+                encodeRecord(
+                    JobRecord.serializer(),
+                    JobRecord(
+                        spec.copy(id = id).takeIf {
+                            final ==
+                                null
+                        },
+                        final = final,
+                    ),
+                ),
+                1,
+            ),
+        )
+        fun segment(bits: Map<String, String>) = table.changeDone(
+            Keys.done("a", "7-0"),
+            Entry(encodeRecord(DoneRecord.serializer(), DoneRecord(bits)), 2),
+        ).map {
+            it.id
+        }
         job("j-1", null)
         job("j-2", null)
         assertEquals(listOf("j-1"), segment(mapOf("j-1" to "Aw")))
--- a/src/test/kotlin/io/otterknot/PartTest.kt
+++ b/src/test/kotlin/io/otterknot/PartTest.kt
@@ -34,21 +34,53 @@
 
     private fun part(registered: List<String> = emptyList(), limit: Double = 1e9, othersUntil: Long = 0) = Part(
         "a", 7, 0, othersUntil, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { type.also { typesAsked++ } },
-        listOf(TeamShare("red", 1.0, Amount(limit, 0.0)), TeamShare("blue", 1.0, Amount(1e9, 0.0))), registered.associateWith { "big" },
+        listOf(TeamShare("red", 1.0, Amount(limit, 0.0)), TeamShare("blue", 1.0, Amount(1e9, 0.0))),
+        registered.associateWith {
+            "big"
+        },
     )
 
-    private fun job(id: Int, tasks: Int, cores: Double = 2.0, priority: Priority = Priority.HIGH, team: String = "red") = Job("j-%06d".format(id)).also {
-        it.record = JobRecord(JobSpec(it.id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0), listOf(Span("a", 0, tasks)))
+    private fun job(
+        id: Int,
+        tasks: Int,
+        cores: Double = 2.0,
+        priority: Priority = Priority.HIGH,
+        team: String = "red",
+    ) = Job("j-%06d".format(id)).also {
+        it.record =
+            JobRecord(
+                JobSpec(it.id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0),
+                listOf(Span("a", 0, tasks)),
+            )
     }
 
-    private fun Part.hear(machine: String, token: Long, now: Long, vararg tasks: TaskReport, session: Long = 1, seq: Long? = null, noticeS: Double? = null): ReportDecision =
-        report(Report(machine, "", "big", "a", false, session, seq ?: seqs.merge(machine, 1, Long::plus)!!, token, noticeS, tasks.toList()), now)
+    private fun Part.hear(
+        machine: String,
+        token: Long,
+        now: Long,
+        vararg tasks: TaskReport,
+        session: Long = 1,
+        seq: Long? = null,
+        noticeS: Double? = null,
+    ): ReportDecision = report(
+        Report(
+            machine, "", "big", "a", false, session,
+            seq ?: seqs.merge(
+                machine,
+                1,
+                Long::plus,
+            )!!,
+            token, noticeS, tasks.toList(),
+        ),
+        now,
+    )
 
     private fun ReportDecision.commands(): List<Command> = (this as ReportDecision.Answer).commands
 
     private fun ReportDecision.starts() = commands().filter { it.op == "start" }
 
-    private fun Command.shown(state: String = "running", cause: String? = null) = TaskReport(task, attempt, state, cause)
+    private fun Command.shown(state: String = "running", cause: String? = null) =
+        TaskReport(task, attempt, state, cause)
 
     /** A machine that is known, registered and idle. */
     private fun Part.ready(vararg machines: String) {
@@ -60,12 +92,16 @@
     fun `a machine that has not seen the token gets it and nothing else, and settles nothing`() {
         val part = part(listOf("m1", "m2"))
         part.updateJob(job(1, 4), inherited = true)
-        assertEquals(ReportDecision.Answer(7, emptyList()), part.hear("m1", 3, 100, TaskReport("j-000001/0", 9, "running")))
+        assertEquals(
+            ReportDecision.Answer(7, emptyList()),
+            part.hear("m1", 3, 100, TaskReport("j-000001/0", 9, "running")),
+        )
         assertTrue(part.hear("m1", 7, 200, TaskReport("j-000001/0", 9, "running")).commands().isEmpty())
         assertTrue(!part.settled, "m2 may hold the other tasks")
         assertTrue(part.hear("m2", 3, 300).commands().isEmpty())
         assertTrue(!part.settled, "m2 has not seen the token")
-        val started = part.hear("m2", 7, 400).starts() + part.hear("m1", 7, 500, TaskReport("j-000001/0", 9, "running")).starts()
+        val started =
+            part.hear("m2", 7, 400).starts() + part.hear("m1", 7, 500, TaskReport("j-000001/0", 9, "running")).starts()
         assertEquals(setOf("j-000001/1", "j-000001/2", "j-000001/3"), started.map { it.task }.toSet())
     }
 
@@ -102,7 +138,13 @@
         val part = part()
         assertEquals(ReportDecision.Superseded, part.hear("m1", 8, 1))
         part.hear("m1", 7, 2, session = 2, seq = 5)
-        for ((session, seq) in listOf(1L to 9L, 2L to 4L, 2L to 5L)) assertEquals(ReportDecision.Stale, part.hear("m1", 7, 3, session = session, seq = seq))
+        for ((session, seq) in listOf(
+            1L to 9L,
+            2L to 4L,
+            2L to 5L,
+        )) {
+            assertEquals(ReportDecision.Stale, part.hear("m1", 7, 3, session = session, seq = seq))
+        }
     }
 
     @Test
@@ -201,7 +243,16 @@
         part.ready("m1", "m2")
         val job = job(1, 8)
         part.updateJob(job, inherited = false)
-        for (id in listOf("m1", "m2")) part.hear(id, 7, 20, *part.hear(id, 7, 10).starts().map { it.shown() }.toTypedArray())
+        for (id in listOf("m1", "m2")) {
+            part.hear(
+                id,
+                7,
+                20,
+                *part.hear(id, 7, 10).starts().map {
+                    it.shown()
+                }.toTypedArray(),
+            )
+        }
         job.record = JobRecord(final = Final.CANCELLED)
         part.updateJob(job, inherited = false)
         part.sweep(9_000)
@@ -223,15 +274,39 @@
         assertEquals(8, low.size)
         part.hear("m1", 7, 20, *low.map { it.shown() }.toTypedArray())
         part.updateJob(job(2, 1, cores = 3.0), inherited = false)
-        assertTrue(part.hear("m1", 7, 30, *low.map { it.shown() }.toTypedArray()).commands().isEmpty(), "lesser work may finish by itself first")
+        assertTrue(
+            part.hear(
+                "m1",
+                7,
+                30,
+                *low.map {
+                    it.shown()
+                }.toTypedArray(),
+            ).commands().isEmpty(),
+            "lesser work may finish by itself first",
+        )
         val halted = part.hear("m1", 7, 3_030, *low.map { it.shown() }.toTypedArray()).commands()
         assertEquals(List(3) { "halt" }, halted.map { it.op })
         val gone = halted.map { it.attempt }.toSet()
         // Only two of the three have stopped: their cores stay free for the urgent task.
         val two = gone.take(2).toSet()
-        val partly = part.hear("m1", 7, 3_040, *low.filter { it.attempt !in two }.map { it.shown() }.toTypedArray()).commands()
+        val partly = part.hear(
+            "m1",
+            7,
+            3_040,
+            *low.filter {
+                it.attempt !in two
+            }.map { it.shown() }.toTypedArray(),
+        ).commands()
         assertTrue(partly.none { it.op == "start" }, "$partly")
-        val all = part.hear("m1", 7, 3_050, *low.filter { it.attempt !in gone }.map { it.shown() }.toTypedArray()).starts()
+        val all = part.hear(
+            "m1",
+            7,
+            3_050,
+            *low.filter {
+                it.attempt !in gone
+            }.map { it.shown() }.toTypedArray(),
+        ).starts()
         assertEquals(listOf("j-000002/0"), all.map { it.task })
     }
 
@@ -253,7 +328,10 @@
         assertEquals(4, held.waiting)
     }
 
-    /** With all suspects added up for each waiting job in each pass, a restart of all would cost machines times jobs a report. */
+    /**
+     * With all suspects added up for each waiting job in each pass, a restart of all would cost machines times jobs a
+     * report.
+     */
     @ParameterizedTest
     @ValueSource(ints = [20, 400])
     fun `what a report costs during a take-over does not grow with the machines or the jobs`(machines: Int) {
@@ -270,7 +348,11 @@
     /** At any time some machine of a large part is dead, and after a claim it would hold thousands of tasks up. */
     @ParameterizedTest
     @CsvSource("1,4900,0", "1,5100,1", "5,5100,0", "5,7600,5", "40,7600,0")
-    fun `machines not heard of since a claim are given back, sooner when they are few`(missing: Int, now: Long, returned: Int) {
+    fun `machines not heard of since a claim are given back, sooner when they are few`(
+        missing: Int,
+        now: Long,
+        returned: Int,
+    ) {
         val ids = (1..100).map { "m$it" }
         val part = part(ids)
         part.updateJob(job(1, 1), inherited = true)
@@ -315,7 +397,10 @@
         assertEquals(1, part.hear("m2", 7, 40).starts().size)
     }
 
-    /** Each of its reports was answered, so counting its lease from the last of them would leave the part in doubt for ever. */
+    /**
+     * Each of its reports was answered, so counting its lease from the last of them would leave the part in doubt for
+     * ever.
+     */
     @Test
     fun `a machine that never shows the token holds up doubts no longer than two leases`() {
         val part = part(listOf("m1", "deaf"))
@@ -355,7 +440,15 @@
         val shown = HashMap<String, List<TaskReport>>()
         for (now in 10L..30_000L step 800) {
             alone.hear("deaf", 7, now)
-            for (id in listOf("m1", "m2", "m3")) shown.merge(id, alone.hear(id, 7, now, *shown[id].orEmpty().toTypedArray()).starts().map { it.shown() }, List<TaskReport>::plus)
+            for (id in listOf("m1", "m2", "m3")) {
+                shown.merge(
+                    id,
+                    alone.hear(id, 7, now, *shown[id].orEmpty().toTypedArray()).starts().map {
+                        it.shown()
+                    },
+                    List<TaskReport>::plus,
+                )
+            }
             alone.sweep(now)
         }
         assertEquals(listOf("deaf"), alone.unreachable())
@@ -366,7 +459,12 @@
         val part = part()
         part.ready("m1", "m2")
         part.updateJob(job(1, 1), inherited = false)
-        val start = listOf("m1", "m2").firstNotNullOf { id -> part.hear(id, 7, 10).starts().firstOrNull()?.let { id to it } }
+        val start = listOf("m1", "m2").firstNotNullOf { id ->
+            part.hear(id, 7, 10).starts().firstOrNull()?.let {
+                id to
+                    it
+            }
+        }
         part.hear(start.first, 7, 20, start.second.shown())
         val seen = seqs.getValue(start.first)
         for (leave in listOf<(String) -> Unit>(part::dismiss, part::released)) {
@@ -374,7 +472,11 @@
             assertEquals(ReportDecision.Stale, part.hear(start.first, 7, 30, start.second.shown(), seq = seen))
             assertEquals(null, part.machine(start.first))
         }
-        assertEquals(ReportDecision.Stale, part.hear(start.first, 7, 30, seq = seen + 50), "a machine that the cloud took back is gone for good")
+        assertEquals(
+            ReportDecision.Stale,
+            part.hear(start.first, 7, 30, seq = seen + 50),
+            "a machine that the cloud took back is gone for good",
+        )
     }
 
     @Test
@@ -382,7 +484,13 @@
         val part = part()
         part.ready("m1")
         part.updateJob(job(1, 500, cores = 1.0), inherited = false)
-        part.updateJob(job(2, 500, cores = 1.0, priority = Priority.BEST_EFFORT, team = "blue").also { it.record = it.record!!.copy(submittedMs = 1) }, inherited = false)
+        part.updateJob(
+            job(2, 500, cores = 1.0, priority = Priority.BEST_EFFORT, team = "blue").also {
+                it.record =
+                    it.record!!.copy(submittedMs = 1)
+            },
+            inherited = false,
+        )
         var shown = part.hear("m1", 7, 10).starts().map { it.shown() }
         val starts = ArrayList<String>()
         for (now in 1_000L..100_000L step 1_000) {
@@ -396,9 +504,12 @@
         assertEquals(1, starts.count { it.startsWith("j-000002") })
     }
 
-    /** The owner before may not know yet that its part was claimed: what is not known by a report waits for its fence too. */
+    /**
+     * The owner before may not know yet that its part was claimed: what is not known by a report waits for its fence
+     * too.
+     */
     @Test
-    fun `after a part was claimed from an owner that may still act, time alone settles nothing before that owner's end`() {
+    fun `while an overridden owner may still act, time alone settles nothing`() {
         for ((others, settles) in listOf(0L to 10_800L, 22_000L to 32_800L)) {
             val part = part(listOf("m1", "gone"), othersUntil = others)
             part.updateJob(job(1, 1), inherited = true)
@@ -424,7 +535,8 @@
                 val here = running.getOrPut(id) { LinkedHashMap() }
                 val takes = if (id == "slow") 40_000 else 10_000
                 val (over, still) = here.entries.partition { now - it.value >= takes }
-                val answer = part.hear(id, 7, now, *(still.map { it.key.shown() } + over.map { it.key.shown("exited", "done") }).toTypedArray())
+                val shown = still.map { it.key.shown() } + over.map { it.key.shown("exited", "done") }
+                val answer = part.hear(id, 7, now, *shown.toTypedArray())
                 over.forEach { here.remove(it.key) }
                 for (command in answer.commands()) {
                     if (command.op == "start") here[command] = now
--- a/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
@@ -15,10 +15,26 @@
 
     companion object {
         private fun ClusterStandIn.job(id: Int, tasks: Int, runS: Double, vararg awaits: Int, last: Boolean = false) =
-            spec(id, tasks, runS, if (last) "urgent" else "bulk", if (last) Priority.HIGH else Priority.BEST_EFFORT, cores = 1.0)
-                .copy(awaits = awaits.map { "j-%06d".format(it) }.ifEmpty { null }, dueS = if (last) 60.0 else null, oneZone = false, spread = false)
+            spec(
+                id,
+                tasks,
+                runS,
+                if (last) "urgent" else "bulk",
+                if (last) Priority.HIGH else Priority.BEST_EFFORT,
+                cores = 1.0,
+            )
+                .copy(
+                    awaits = awaits.map {
+                        "j-%06d".format(it)
+                    }.ifEmpty { null },
+                    dueS = if (last) 60.0 else null,
+                    oneZone = false,
+                    spread = false,
+                )
 
-        /** A first job, a fan of so many after it, one that needs half of these and one that needs all and the first. */
+        /**
+         * A first job, a fan of so many after it, one that needs half of these and one that needs all and the first.
+         */
         private fun ClusterStandIn.pipeline(base: Int, fan: Int = 3, runS: Double = 4.0, cancelFirstMs: Long? = null) {
             user(job(base, 2, runS), cancelFirstMs)
             for (at in 1..fan) user(job(base + at, 1 + at % 3, runS, base))
@@ -32,7 +48,11 @@
         }
 
         private fun gaps() = listOf(200L, 1_500L, 9_000L).map { apart ->
-            Case("the first of a pipeline is called off, the leader refused alone, then the state service out: $apart ms apart", seeds = 1, mixture = false) {
+            Case(
+                "the first of a pipeline is called off, the leader refused alone, then the state service out: $apart ms apart",
+                seeds = 1,
+                mixture = false,
+            ) {
                 for (at in 0..5) pipeline(1_000 + at * 20, runS = 60.0)
                 delay(8_000)
                 state.refusedFor = "holt-a"
@@ -84,9 +104,11 @@
             },
             Case("a job is called off as its last task ends, and others await it", mixture = false) {
                 onLastEnd = { spec ->
-                    if (spec.awaits == null && random.nextInt(3) > 0) scope.launch {
-                        delay(random.nextLong(1_000))
-                        cancel(spec)
+                    if (spec.awaits == null && random.nextInt(3) > 0) {
+                        scope.launch {
+                            delay(random.nextLong(1_000))
+                            cancel(spec)
+                        }
                     }
                 }
                 pipelines(14, 900)
@@ -99,7 +121,22 @@
                     delay(1_500)
                     cancel(first)
                     for (more in 1..6) {
-                        user(job(1_000 + at * 20 + more, 1, 1.0, 1_000 + at * 20 + (if (more % 2 == 0) more - 1 else 0)))
+                        user(
+                            job(
+                                1_000 + at * 20 + more,
+                                1,
+                                1.0,
+                                1_000 + at * 20 + (
+                                    if (more % 2 ==
+                                        0
+                                    ) {
+                                        more - 1
+                                    } else {
+                                        0
+                                    }
+                                    ),
+                            ),
+                        )
                         delay(random.nextLong(120))
                     }
                 }
@@ -133,7 +170,12 @@
                 for (zone in zones) repeat(90) { boot(zone, spot = it % 2 == 0) }
                 for (id in 201..260) user(spec(id, 20, 6.0))
                 delay(14_000)
-                if (state.contents().none { it.key.startsWith("o/m/") && it.value.toString().length > 1_024 }) broken.add("no segment is large before")
+                if (state.contents().none {
+                        it.key.startsWith("o/m/") && it.value.toString().length > 1_024
+                    }
+                ) {
+                    broken.add("no segment is large before")
+                }
                 next = NextStateFacts(valueKb = 1.0)
                 nodes.forEach(::restart)
                 delay(1_000)
@@ -143,7 +185,9 @@
                 delay(25_000)
                 nothingTooLarge()
             },
-            Case("the new version comes, a controller at a time, and pipelines after it; crashes, late transactions and copies meanwhile") {
+            Case(
+                "the new version comes, a controller at a time, and pipelines after it; crashes, late transactions and copies meanwhile",
+            ) {
                 old.addAll(nodes)
                 nodes.forEach(::restart)
                 state.lateWrites = 0.15
@@ -164,7 +208,10 @@
                 state.lateWrites = 0.0
                 copies = 0.0
             },
-            Case("ten changes of owner between old and new, in both directions, with an outage and a team at its limit", teamLimit = 16.0) {
+            Case(
+                "ten changes of owner between old and new, in both directions, with an outage and a team at its limit",
+                teamLimit = 16.0,
+            ) {
                 old.add("holt-a")
                 nodes.forEach(::restart)
                 for (id in 201..212) user(spec(id, 6, 8.0))
