--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -1,6 +1,12 @@
 package io.otterknot
 
+import io.otterknot.placement.Aim
+import io.otterknot.placement.Aims
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartTimes
+import io.otterknot.placement.TeamShare
 import io.otterknot.state.Amount
+import io.otterknot.state.DoneRecord
 import io.otterknot.state.Entry
 import io.otterknot.state.Final
 import io.otterknot.state.Job
@@ -12,11 +18,6 @@
 import io.otterknot.state.ValueLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.placement.Aim
-import io.otterknot.placement.Aims
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartTimes
-import io.otterknot.placement.TeamShare
 import io.otterknot.wire.Change
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
@@ -36,19 +37,48 @@
 
     private fun id(number: Int) = "j-%06d".format(number)
 
-    private fun spec(number: Int, awaits: List<Int>, priority: Priority = Priority.BEST_EFFORT, dueS: Double? = null) = JobSpec(
-        id(number), "k", "red", priority, 2, 2.0, memoryGb = 1.0, image = "i", imageGb = 1.0, spot = true, estimateS = 10.0, dueS = dueS,
-        awaits = awaits.map(::id).ifEmpty { null },
-    )
+    private fun spec(number: Int, awaits: List<Int>, priority: Priority = Priority.BEST_EFFORT, dueS: Double? = null) =
+        JobSpec(
+            id(
+                number,
+            ),
+            "k",
+            "red",
+            priority,
+            2,
+            2.0,
+            memoryGb = 1.0,
+            image = "i",
+            imageGb = 1.0,
+            spot = true,
+            estimateS = 10.0,
+            dueS = dueS,
+            awaits = awaits.map(::id).ifEmpty { null },
+        )
 
     /** The jobs of which the table says that something else holds now. */
     private fun put(record: JobRecord, number: Int): List<String> =
-        table.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), record), ++revision)).map { it.id }
+        table.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), record), ++revision)).map {
+            it.id
+        }
 
-    private fun submit(number: Int, vararg awaits: Int, priority: Priority = Priority.BEST_EFFORT, dueS: Double? = null) =
-        put(JobRecord(spec(number, awaits.toList(), priority, dueS), listOf(Span("a", 0, 2)), submittedMs = 1_000L * number), number)
+    private fun submit(
+        number: Int,
+        vararg awaits: Int,
+        priority: Priority = Priority.BEST_EFFORT,
+        dueS: Double? = null,
+    ) = put(
+        JobRecord(
+            spec(number, awaits.toList(), priority, dueS),
+            listOf(Span("a", 0, 2)),
+            submittedMs =
+            1_000L * number,
+        ),
+        number,
+    )
 
-    private fun end(number: Int, final: Final = Final.DONE) = put(JobRecord(final = final, endedMs = 100_000L + number), number)
+    private fun end(number: Int, final: Final = Final.DONE) =
+        put(JobRecord(final = final, endedMs = 100_000L + number), number)
 
     private fun ready(number: Int) = table[id(number)]!!.ready
 
@@ -56,7 +86,10 @@
 
     @Test
     fun `a job is ready once all that it awaits is done, whichever comes first`() {
-        submit(1); submit(2); submit(3, 1, 2); submit(4, 3)
+        submit(1)
+        submit(2)
+        submit(3, 1, 2)
+        submit(4, 3)
         assertTrue(ready(1) && !ready(3) && !ready(4))
         assertEquals(listOf(id(1)), end(1).take(1))
         assertTrue(!ready(3))
@@ -74,55 +107,91 @@
     fun `the order in which a restarted controller reads the jobs does not matter`() {
         for (order in listOf(listOf(1, 2, 3, 4), listOf(4, 3, 2, 1), listOf(3, 1, 4, 2))) {
             val read = JobTable()
-            fun take(number: Int, record: JobRecord) = read.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), record), 1))
+            fun take(number: Int, record: JobRecord) =
+                read.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), record), 1))
             val records = mapOf(
-                1 to JobRecord(final = Final.CANCELLED), 2 to JobRecord(final = Final.DONE, endedMs = 9),
-                3 to JobRecord(spec(3, listOf(1, 2))), 4 to JobRecord(spec(4, listOf(3))),
+                1 to JobRecord(final = Final.CANCELLED),
+                2 to JobRecord(final = Final.DONE, endedMs = 9),
+                3 to JobRecord(spec(3, listOf(1, 2))),
+                4 to JobRecord(spec(4, listOf(3))),
             )
             order.forEach { take(it, records.getValue(it)) }
-            assertEquals(listOf(Final.CANCELLED, Final.DONE, Final.CANCELLED, Final.CANCELLED), (1..4).map { read[id(it)]!!.outcome })
+            assertEquals(
+                listOf(Final.CANCELLED, Final.DONE, Final.CANCELLED, Final.CANCELLED),
+                (1..4).map {
+                    read[id(it)]!!.outcome
+                },
+            )
             assertTrue(!read[id(3)]!!.ready && !read[id(4)]!!.ready)
             val lending = JobTable()
             for (number in order) {
-                val spec = spec(number, listOfNotNull((number - 1).takeIf { it > 0 }), if (number == 4) Priority.HIGH else Priority.BEST_EFFORT, if (number == 4) 90.0 else null)
+                val spec = spec(
+                    number,
+                    listOfNotNull((number - 1).takeIf { it > 0 }),
+                    if (number ==
+                        4
+                    ) {
+                        Priority.HIGH
+                    } else {
+                        Priority.BEST_EFFORT
+                    },
+                    if (number == 4) 90.0 else null,
+                )
                 lending.changeJob(Keys.job(id(number)), Entry(encodeRecord(JobRecord.serializer(), JobRecord(spec)), 1))
             }
-            assertEquals(List(3) { Priority.HIGH to 90_000L - 14_000 * (3 - it) }, (1..3).map { lending[id(it)]!!.needs.let { needs -> needs.lentPriority to needs.lentDueMs } })
+            assertEquals(
+                List(3) { Priority.HIGH to 90_000L - 14_000 * (3 - it) },
+                (1..3).map {
+                    lending[id(it)]!!.needs.let { needs ->
+                        needs.lentPriority to
+                            needs.lentDueMs
+                    }
+                },
+            )
         }
     }
 
     @Test
     fun `what needs a cancelled job is cancelled with it and never ready, whatever else ends`() {
-        submit(1); submit(2); submit(3, 1, 2); submit(4, 3); submit(5, 2)
+        submit(1)
+        submit(2)
+        submit(3, 1, 2)
+        submit(4, 3)
+        submit(5, 2)
         assertEquals(setOf(id(1), id(2), id(3), id(4)), (end(1, Final.CANCELLED) + id(2)).toSet())
         assertEquals(listOf(null, Final.CANCELLED, Final.CANCELLED, null), (2..5).map(::outcome))
         end(2)
         assertTrue(!ready(3) && !ready(4) && ready(5))
         submit(6, 4)
         assertEquals(Final.CANCELLED, outcome(6), "submitted after the cancellation")
-        table.changeDone(Keys.done("a", "1-0"), Entry(encodeRecord(io.otterknot.state.DoneRecord.serializer(), io.otterknot.state.DoneRecord(mapOf(id(4) to "Aw"))), ++revision))
+        val completions = encodeRecord(DoneRecord.serializer(), DoneRecord(mapOf(id(4) to "Aw")))
+        table.changeDone(Keys.done("a", "1-0"), Entry(completions, ++revision))
         assertTrue(!table[id(4)]!!.complete, "it is never called done")
     }
 
     /** Each level of a chain would take a level of the stack otherwise. */
     @ParameterizedTest
     @ValueSource(ints = [20_000])
-    fun `long chains and wide fans take no recursion and no time`(count: Int) = org.junit.jupiter.api.Assertions.assertTimeout(Duration.ofSeconds(20)) {
-        submit(0)
-        for (number in 1..count) submit(number, number - 1)
-        submit(count + 1, count, priority = Priority.HIGH, dueS = 900.0)
-        assertEquals(Priority.HIGH, table[id(0)]!!.needs.lentPriority)
-        assertEquals(count + 2, end(0, Final.CANCELLED).size)
-        assertEquals(Final.CANCELLED, outcome(count + 1))
-        submit(500_000)
-        for (number in 1..count) submit(500_000 + number, 500_000)
-        assertEquals(count + 1, end(500_000).size)
-        assertTrue(ready(500_000 + count))
-    }
+    fun `long chains and wide fans take no recursion and no time`(count: Int) =
+        org.junit.jupiter.api.Assertions.assertTimeout(Duration.ofSeconds(20)) {
+            submit(0)
+            for (number in 1..count) submit(number, number - 1)
+            submit(count + 1, count, priority = Priority.HIGH, dueS = 900.0)
+            assertEquals(Priority.HIGH, table[id(0)]!!.needs.lentPriority)
+            assertEquals(count + 2, end(0, Final.CANCELLED).size)
+            assertEquals(Final.CANCELLED, outcome(count + 1))
+            submit(500_000)
+            for (number in 1..count) submit(500_000 + number, 500_000)
+            assertEquals(count + 1, end(500_000).size)
+            assertTrue(ready(500_000 + count))
+        }
 
     @Test
     fun `a job is as urgent as the most urgent that needs it, and only for as long`() {
-        submit(1); submit(2, 1); submit(3, 2, priority = Priority.HIGH, dueS = 100.0); submit(4, 1, priority = Priority.NORMAL, dueS = 300.0)
+        submit(1)
+        submit(2, 1)
+        submit(3, 2, priority = Priority.HIGH, dueS = 100.0)
+        submit(4, 1, priority = Priority.NORMAL, dueS = 300.0)
         fun lent(number: Int) = table[id(number)]!!.needs.let { it.lentPriority to it.lentDueMs }
         // Each step back takes the estimate of 10 s and 4 s besides.
         assertEquals(Priority.HIGH to 103_000L - 14_000, lent(2))
@@ -142,14 +211,16 @@
     @Test
     fun `a part takes up nothing of a job before it is ready, and drops it when it is cancelled with another`() {
         val part = part()
-        submit(1); submit(2, 1)
+        submit(1)
+        submit(2, 1)
         fun update(ids: List<String>) = ids.forEach { part.updateJob(table[it]!!, inherited = false) }
         update(listOf(id(1), id(2)))
         assertEquals(listOf(id(1)), part.jobs.map { it.id })
         assertEquals(4.0, part.demand { true })
         update(end(1))
         assertEquals(listOf(id(2)), part.jobs.map { it.id })
-        submit(3); submit(4, 3)
+        submit(3)
+        submit(4, 3)
         update(listOf(id(3), id(4)))
         update(end(3, Final.CANCELLED))
         assertEquals(listOf(id(2)), part.jobs.map { it.id })
@@ -159,20 +230,37 @@
     @Test
     fun `a job that becomes ready after a claim is in no doubt, one that was before is`() {
         val part = Part(
-            "a", 7, 0, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { MachineType("big", 8.0, 0.0, 64.0) },
+            "a", 7, 0, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), {
+                it
+            }, { MachineType("big", 8.0, 0.0, 64.0) },
             listOf(TeamShare("red", 1.0, Amount(1e9, 0.0))), mapOf("m1" to "big"),
         )
-        submit(1); end(1); submit(2, 1); submit(3); submit(4, 3)
+        submit(1)
+        end(1)
+        submit(2, 1)
+        submit(3)
+        submit(4, 3)
         for (number in listOf(2, 4)) part.updateJob(table[id(number)]!!, inherited = true)
         end(3)
         part.updateJob(table[id(4)]!!, inherited = false)
-        assertEquals(listOf(0 to 2, 2 to 0), listOf(2, 4).map { part.job(id(it))!!.let { held -> held.pending.cardinality() to held.doubtful.cardinality() } })
+        assertEquals(
+            listOf(0 to 2, 2 to 0),
+            listOf(2, 4).map {
+                part.job(id(it))!!.let { held ->
+                    held.pending.cardinality() to
+                        held.doubtful.cardinality()
+                }
+            },
+        )
     }
 
     @Test
     fun `lent urgency orders what waits`() {
         val part = part(Aims(mapOf("k" to listOf(Aim.Deadline(1.0)))))
-        submit(1); submit(2); submit(3, 2, priority = Priority.HIGH, dueS = 60.0); submit(4, 3)
+        submit(1)
+        submit(2)
+        submit(3, 2, priority = Priority.HIGH, dueS = 60.0)
+        submit(4, 3)
         for (number in 1..4) part.updateJob(table[id(number)]!!, inherited = false)
         assertEquals(listOf(id(2), id(1)), part.waitingInOrder(10_000).map { it.id })
         assertEquals(Priority.HIGH, part.job(id(2))!!.spec.priority)
@@ -182,11 +270,14 @@
 
     private fun list(count: Int) = List(count) { "j-%06d".format(it * 37) }
 
-    private fun accepted(awaits: List<String>, limits: ValueLimits): List<Change>? =
-        JobChanges.accept(Keys.job(id(1)), JobRecord(spec(1, emptyList()).copy(awaits = awaits), listOf(Span("a", 0, 2))), limits)
+    private fun accepted(awaits: List<String>, limits: ValueLimits): List<Change>? = JobChanges.accept(
+        Keys.job(id(1)),
+        JobRecord(spec(1, emptyList()).copy(awaits = awaits), listOf(Span("a", 0, 2))),
+        limits,
+    )
 
     @Test
-    fun `a long list stands in keys of its own, in one transaction within the limits, and is read whole or not at all`() {
+    fun `a long list is written in keys of its own in one transaction, and is read whole or not at all`() {
         val limits = ValueLimits(2_048, 6)
         assertEquals(1, accepted(list(20), limits)!!.size)
         assertEquals(null, accepted(list(2_000), limits))
@@ -196,7 +287,14 @@
             val read = JobTable()
             order.forEachIndexed { index, change ->
                 val entry = Entry(change.value!!, 5)
-                val said = if (change.key.startsWith(Keys.JOBS)) read.changeJob(change.key, entry) else read.changeAwaits(change.key, entry)
+                val said = if (change.key.startsWith(
+                        Keys.JOBS,
+                    )
+                ) {
+                    read.changeJob(change.key, entry)
+                } else {
+                    read.changeAwaits(change.key, entry)
+                }
                 assertTrue(said.none { it.ready }, "not all has been read")
                 if (index == order.size - 1) assertEquals(list(900).toSet(), read[id(1)]!!.needs.ids)
             }
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -33,7 +33,9 @@
         it.idle = idle
     }
 
-    /** Two places: load and drift of each, the share of the task; who takes it, and load and drift of the taker after. */
+    /**
+     * Two places: load and drift of each, the share of the task; who takes it, and load and drift of the taker after.
+     */
     @ParameterizedTest
     @CsvSource(
         // The lighter one's drift is below the load gap: it wins and only its drift grows.
@@ -44,7 +46,16 @@
         "0.5,0.1, 0.5,0.0, 0.25, 2, 0.75, 0.0",
         "0.3,0.2, 0.4,0.3, 0.10, 1, 0.6, 0.0",
     )
-    fun `two samples are weighed by load and drift`(l1: Double, d1: Double, l2: Double, d2: Double, share: Double, taker: Int, load: Double, drift: Double) {
+    fun `two samples are weighed by load and drift`(
+        l1: Double,
+        d1: Double,
+        l2: Double,
+        d2: Double,
+        share: Double,
+        taker: Int,
+        load: Double,
+        drift: Double,
+    ) {
         for (seed in 1L..8L) {
             val places = listOf(place(l1, d1), place(l2, d2))
             val taken = Candidates(places) { true }.choose(Random(seed)) { share }
@@ -57,7 +68,12 @@
     @Test
     fun `an idle place comes first, one fit is taken, none waits`() {
         val idle = place(0.0, 0.0, idle = true)
-        assertEquals(idle, Candidates(listOf(place(0.0, 0.0), idle, place(0.1, 0.0))) { true }.choose(Random(1)) { 0.5 })
+        assertEquals(
+            idle,
+            Candidates(listOf(place(0.0, 0.0), idle, place(0.1, 0.0))) {
+                true
+            }.choose(Random(1)) { 0.5 },
+        )
         assertEquals(false, idle.idle)
         assertEquals(0.5, idle.load)
         val only = place(0.9, 0.05)
@@ -76,7 +92,10 @@
             full.clear()
             val candidates = Candidates(places) { it !in full }
             full.add(places[seed % 5])
-            places.forEach { it.load = 0.5; it.drift = 0.0 }
+            places.forEach {
+                it.load = 0.5
+                it.drift = 0.0
+            }
             val chosen = candidates.choose(Random(seed)) { 0.1 }!!
             assertTrue(chosen !in full)
             taken.merge(places.indexOf(chosen), 1, Int::plus)
@@ -86,8 +105,22 @@
         assertTrue(taken.values.all { it in 50..110 }, "$taken")
     }
 
-    private fun spec(tasks: Int, oneZone: Boolean = false, zone: String? = null, spot: Boolean = true) =
-        JobSpec("j-000001", "k", "t", Priority.HIGH, tasks, 2.0, 0.0, 4.0, "i", 1.0, null, zone, oneZone, false, spot, 10.0, dueS = 60.0)
+    private fun spec(tasks: Int, oneZone: Boolean = false, zone: String? = null, spot: Boolean = true) = JobSpec(
+        id = "j-000001",
+        kind = "k",
+        team = "t",
+        priority = Priority.HIGH,
+        tasks = tasks,
+        cores = 2.0,
+        memoryGb = 4.0,
+        image = "i",
+        imageGb = 1.0,
+        zone = zone,
+        oneZone = oneZone,
+        spot = spot,
+        estimateS = 10.0,
+        dueS = 60.0,
+    )
 
     private fun views(vararg means: Double) = means.mapIndexed { index, mean ->
         PartView("z$index").also {
@@ -111,10 +144,23 @@
 
     @Test
     fun `moved tasks change hands and nothing else does`() {
-        val tasks = BitSet().also { it.set(2, 4); it.set(7) }
+        val tasks = BitSet().also {
+            it.set(2, 4)
+            it.set(7)
+        }
         val before = listOf(Span("a", 0, 5), Span("b", 5, 9))
         val after = Spans.move(before, tasks, "c")
-        assertEquals(listOf(Span("a", 0, 2), Span("c", 2, 4), Span("a", 4, 5), Span("b", 5, 7), Span("c", 7, 8), Span("b", 8, 9)), after)
+        assertEquals(
+            listOf(
+                Span("a", 0, 2),
+                Span("c", 2, 4),
+                Span("a", 4, 5),
+                Span("b", 5, 7),
+                Span("c", 7, 8),
+                Span("b", 8, 9),
+            ),
+            after,
+        )
         assertEquals(listOf(Span("a", 0, 9)), Spans.move(after, BitSet().also { it.set(0, 9) }, "a"))
     }
 
@@ -124,7 +170,18 @@
     @ParameterizedTest
     @CsvSource("1,0", "9,1", "25,2", "53,2", "56,4", "70,4", "95,5")
     fun `missed aims are counted by age`(ageS: Long, missed: Int) {
-        val aims = Aims(mapOf("k" to listOf(Aim.Started(8.0, 0.9), Aim.Started(20.0, 0.9), Aim.Finished(60.0), Aim.Deadline(1.0), Aim.Deadline(1.5))))
+        val aims = Aims(
+            mapOf(
+                "k" to
+                    listOf(
+                        Aim.Started(8.0, 0.9),
+                        Aim.Started(20.0, 0.9),
+                        Aim.Finished(60.0),
+                        Aim.Deadline(1.0),
+                        Aim.Deadline(1.5),
+                    ),
+            ),
+        )
         assertEquals(missed, aims.missed(waiting(spec(1), 0), ageS * 1000))
         assertEquals(0, aims.missed(waiting(spec(1).copy(kind = "other"), 0), 1_000_000))
         assertEquals(0.9, aims.readyShare(spec(1), 30.0))
@@ -135,21 +192,49 @@
     @Test
     fun `what is about to miss an aim goes first, what has none left last, and the least work before more`() {
         val aims = Aims(mapOf("k" to listOf(Aim.Deadline(1.0), Aim.Started(180.0, 0.9))))
-        fun job(name: String, tasks: Int, ageS: Long, kind: String = "k") =
-            waiting(spec(tasks).copy(id = name, kind = kind, dueS = 70.0, estimateS = 20.0), (1_000 - ageS) * 1_000).also { it.pending.set(0, tasks) }
+        fun job(name: String, tasks: Int, ageS: Long, kind: String = "k") = waiting(
+            spec(tasks).copy(id = name, kind = kind, dueS = 70.0, estimateS = 20.0),
+            (1_000 - ageS) * 1_000,
+        ).also {
+            it.pending.set(0, tasks)
+        }
         val jobs = listOf(
-            job("late for good", 1, 200), job("late once", 2, 100), job("late once, soon twice", 50, 160), job("new", 9, 1),
-            job("soon late", 30, 40), job("new and large", 90, 2), job("of a class without aims", 7, 300, "other"),
+            job("late for good", 1, 200),
+            job("late once", 2, 100),
+            job("late once, soon twice", 50, 160),
+            job("new", 9, 1),
+            job("soon late", 30, 40),
+            job("new and large", 90, 2),
+            job("of a class without aims", 7, 300, "other"),
         )
         val order = WaitOrder(aims) { it }.sorted(jobs, 1_000_000).map { it.id }
-        assertEquals(listOf("soon late", "late once, soon twice", "of a class without aims", "new", "new and large", "late once", "late for good"), order)
+        assertEquals(
+            listOf(
+                "soon late",
+                "late once, soon twice",
+                "of a class without aims",
+                "new",
+                "new and large",
+                "late once",
+                "late for good",
+            ),
+            order,
+        )
     }
 
     @Test
     fun `the fleet covers what was asked for most of the time`() {
         val window = DemandWindow(spanMs = 20_000, stepMs = 1_000)
         var at = 0L
-        for (value in listOf(100.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0)) window.note(at.also { at += 1_000 }, value, 0.5)
+        for (value in listOf(100.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0, 10.0)) {
+            window.note(
+                at.also {
+                    at += 1_000
+                },
+                value,
+                0.5,
+            )
+        }
         assertEquals(10.0, window.note(at, 5.0, 0.5))
         assertEquals(100.0, window.note(at, 5.0, 1.0))
         assertEquals(150.0, window.note(at, 150.0, 0.5))
@@ -163,12 +248,30 @@
         )
         val policy = FleetPolicy()
         val rents = policy.rent(FleetView(20.0, 100.0, 0.0, 0.0), types, "a") { false }
-        // Per core the slow type is cheaper, but it does nothing for so long that the fast one costs less for a short stay.
+        // Per core the slow type is cheaper, but it does nothing for so long that the fast one costs less for a short
+        // stay.
         assertEquals(listOf("fast" to false, "fast" to true), rents.map { it.kind.type to it.kind.spot })
         assertEquals(listOf(2, 6), rents.map { it.count })
-        assertEquals(listOf("slow" to true), policy.rent(FleetView(0.0, 100.0, 0.0, 0.0), types, "a") { it.type == "fast" }.map { it.kind.type to it.kind.spot })
-        assertEquals(listOf("fast" to false), policy.rent(FleetView(0.0, 30.0, 0.0, 0.0), types, "a") { it.spot }.map { it.kind.type to it.kind.spot })
-        assertEquals(300, policy.rent(FleetView(0.0, 4_200.0, 0.0, 0.0), types, "a") { it.type == "slow" }.single().count.coerceAtMost(300))
+        assertEquals(
+            listOf("slow" to true),
+            policy.rent(FleetView(0.0, 100.0, 0.0, 0.0), types, "a") {
+                it.type ==
+                    "fast"
+            }.map { it.kind.type to it.kind.spot },
+        )
+        assertEquals(
+            listOf("fast" to false),
+            policy.rent(FleetView(0.0, 30.0, 0.0, 0.0), types, "a") { it.spot }.map {
+                it.kind.type to
+                    it.kind.spot
+            },
+        )
+        assertEquals(
+            300,
+            policy.rent(FleetView(0.0, 4_200.0, 0.0, 0.0), types, "a") {
+                it.type == "slow"
+            }.single().count.coerceAtMost(300),
+        )
         assertTrue(policy.spares(FleetView(10.0, 40.0, 32.0, 96.0), spot = true, cores = 32.0))
         assertTrue(!policy.spares(FleetView(30.0, 40.0, 32.0, 96.0), spot = false, cores = 16.0))
     }
--- a/src/test/kotlin/io/otterknot/StateStandIn.kt
+++ b/src/test/kotlin/io/otterknot/StateStandIn.kt
@@ -38,7 +38,9 @@
     /** Share of transactions whose answer is lost, half of them applied up to some seconds later. */
     var lossy = 0.0
 
-    /** Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones of the same node. */
+    /**
+     * Share of transactions that get no answer and are carried out 2 to 12 s later, after newer ones of the same node.
+     */
     var lateWrites = 0.0
 
     /** How much longer than usual every answer takes. */
@@ -92,7 +94,10 @@
         if (away || refusedFor == node) return answer(503, """{"error":"trouble"}""")
         expire()
         val path = target.substringBefore('?')
-        val query = target.substringAfter('?', "").split('&').filter { '=' in it }.associate { it.substringBefore('=') to it.substringAfter('=') }
+        val query = target.substringAfter('?', "").split('&').filter { '=' in it }.associate {
+            it.substringBefore('=') to
+                it.substringAfter('=')
+        }
         return when {
             path == "/txn" -> {
                 val txn = WireJson.decodeFromString(Txn.serializer(), body!!.decodeToString())
@@ -117,25 +122,46 @@
                 }
                 commit(txn)
             }
+
             path == "/holds" -> {
                 val ttl = WireJson.decodeFromString(LeaseRequest.serializer(), body!!.decodeToString()).ttlMs
                 val id = nextLease++
                 leases[id] = Lease(ttl, nowMs() + ttl)
                 answer(200, """{"Tenure":$id}""")
             }
+
             path.startsWith("/holds/") -> {
-                val lease = leases[path.removePrefix("/holds/").removeSuffix("/extend").toLong()] ?: return answer(404, "{}")
+                val lease =
+                    leases[path.removePrefix("/holds/").removeSuffix("/extend").toLong()] ?: return answer(404, "{}")
                 lease.endsMs = nowMs() + lease.ttlMs
                 renewedMs[node] = nowMs()
                 answer(200, "{}")
             }
-            path == "/watch" -> watch(node, query.getValue("Under"), query.getValue("After").toLong(), query.getValue("WaitMs").toLong())
+
+            path == "/watch" -> watch(
+                node,
+                query.getValue("Under"),
+                query.getValue("After").toLong(),
+                query.getValue("WaitMs").toLong(),
+            )
+
             path == "/store" -> {
                 val under = query.getValue("Under")
-                val items = data.tailMap(query["After"] ?: under, query["After"] == null).entries.takeWhile { it.key.startsWith(under) }
-                val page = items.take(query.getValue("Page").toInt()).map { StoredValue(it.key, it.value.value, it.value.version) }
-                answer(200, WireJson.encodeToString(StoredPage.serializer(), StoredPage(page, page.size < items.size, revision)))
+                val items = data.tailMap(query["After"] ?: under, query["After"] == null).entries.takeWhile {
+                    it.key.startsWith(under)
+                }
+                val page = items.take(query.getValue("Page").toInt()).map {
+                    StoredValue(it.key, it.value.value, it.value.version)
+                }
+                answer(
+                    200,
+                    WireJson.encodeToString(
+                        StoredPage.serializer(),
+                        StoredPage(page, page.size < items.size, revision),
+                    ),
+                )
             }
+
             else -> answer(404, """{"Tide":$revision}""")
         }
     }
@@ -146,7 +172,7 @@
             expire()
             val waits = away || refusedFor == node || watchless == node
             val news = if (waits) emptyList() else log.filter { it.version!! > after && it.key.startsWith(under) }
-            if (news.isNotEmpty() || nowMs() >= until && !waits) {
+            if (news.isNotEmpty() || (nowMs() >= until && !waits)) {
                 return answer(200, WireJson.encodeToString(WatchEvents.serializer(), WatchEvents(revision, news)))
             }
             delay(10)
@@ -155,9 +181,13 @@
 
     private fun commit(txn: Txn): Reply {
         expire()
-        if (txn.changes.any { it.put != null && it.lease != null && it.lease !in leases }) return answer(400, """{"error":"no such lease"}""")
+        val leaseEnded = txn.changes.any { it.put != null && it.lease != null && it.lease !in leases }
+        if (leaseEnded) return answer(400, """{"error":"no such lease"}""")
         val failed = txn.guards.filter { (data[it.key]?.version ?: 0) != it.version }.map { it.key }
-        if (failed.isNotEmpty()) return answer(409, """{"failed":[${failed.joinToString(",") { "\"$it\"" }}],"Tide":$revision}""")
+        if (failed.isNotEmpty()) {
+            val keys = failed.joinToString(",") { "\"$it\"" }
+            return answer(409, """{"failed":[$keys],"Tide":$revision}""")
+        }
         if (txn.changes.isNotEmpty()) revision++
         for (change in txn.changes) {
             val put = change.put
--- a/src/test/kotlin/io/otterknot/WireTest.kt
+++ b/src/test/kotlin/io/otterknot/WireTest.kt
@@ -14,8 +14,9 @@
 import org.junit.jupiter.params.provider.ValueSource
 
 class WireTest {
-    private val good = """{"Uid":"j-000412","Ilk":"train","Crew":"vision","Sort":"sweep","Rank":"high","Chores":16,"Cores":8.0,""" +
-        """"Cards":1.0,"MemoryGb":64.0,"Pelt":"img-07","SizeGb":6.2,"Breeds":["g8"],"Reach":null,"SamePlace":true,"Scatter":false,""" +
+    private val good = """{"Uid":"j-000412","Ilk":"train","Crew":"vision","Sort":"sweep","Rank":"high","Chores":16,""" +
+        """"Cores":8.0,"Cards":1.0,"MemoryGb":64.0,"Pelt":"img-07","SizeGb":6.2,"Breeds":["g8"],""" +
+        """"Reach":null,"SamePlace":true,"Scatter":false,""" +
         """"Driftwood":true,"GuessS":240.0,"CacheS":30.0,"StashS":4.0,"DueS":900.0,"Extra":{"a":1}}"""
 
     @Test
@@ -30,7 +31,13 @@
 
     @Test
     fun `what may be null may be left out`() {
-        val spec = parseSubmission(good.replace(""""Reach":null,""", "").replace(""""Breeds":["g8"],""", "").replace(""","DueS":900.0""", "").encodeToByteArray())
+        val spec =
+            parseSubmission(
+                good.replace(
+                    """"Reach":null,""",
+                    "",
+                ).replace(""""Breeds":["g8"],""", "").replace(""","DueS":900.0""", "").encodeToByteArray(),
+            )
         assertEquals(null, spec.types)
         assertEquals(null, spec.dueS)
     }
@@ -38,10 +45,20 @@
     @ParameterizedTest
     @CsvSource(
         delimiter = '|',
-        value = ["null|", "[]|", "[\"j-000002\"]|j-000002", "[\"j-000002\",\"j-000001\",\"j-000002\"]|j-000002 j-000001"],
+        value = [
+            "null|",
+            "[]|",
+            "[\"j-000002\"]|j-000002",
+            "[\"j-000002\",\"j-000001\",\"j-000002\"]|j-000002 j-000001",
+        ],
     )
     fun `jobs that are awaited are read, each once`(awaits: String, read: String?) {
-        assertEquals(read, parseSubmission(good.replace("\"DueS\":900.0", "\"Awaits\":$awaits").encodeToByteArray()).awaits?.joinToString(" "))
+        assertEquals(
+            read,
+            parseSubmission(
+                good.replace("\"DueS\":900.0", "\"Awaits\":$awaits").encodeToByteArray(),
+            ).awaits?.joinToString(" "),
+        )
     }
 
     @ParameterizedTest
@@ -109,18 +126,39 @@
 
     @Test
     fun `controllers' messages survive their frames`() {
-        for (message in listOf(PeerMessage.Ask, PeerMessage.Announce("gdansk", 77, 3), PeerMessage.Withdraw("łódź", 78), PeerMessage.Known(2, true), PeerMessage.Known(0, false))) {
+        for (message in listOf(
+            PeerMessage.Ask,
+            PeerMessage.Announce("gdansk", 77, 3),
+            PeerMessage.Withdraw("łódź", 78),
+            PeerMessage.Known(2, true),
+            PeerMessage.Known(0, false),
+        )) {
             val frame = PeerCodec.encode(message)
             assertEquals(message, PeerCodec.decode(frame.copyOfRange(4, frame.size)))
         }
         val carry = PeerMessage.Carry("POST", "/txn", "{}".encodeToByteArray(), 2_500)
         val read = PeerCodec.decode(PeerCodec.encode(carry).let { it.copyOfRange(4, it.size) }) as PeerMessage.Carry
-        assertEquals(listOf("POST", "/txn", "{}", 2_500), listOf(read.method, read.target, read.body!!.decodeToString(), read.timeoutMs))
-        val none = PeerCodec.decode(PeerCodec.encode(PeerMessage.Carry("GET", "/store", null, 1)).let { it.copyOfRange(4, it.size) }) as PeerMessage.Carry
+        assertEquals(
+            listOf("POST", "/txn", "{}", 2_500),
+            listOf(read.method, read.target, read.body!!.decodeToString(), read.timeoutMs),
+        )
+        val none = PeerCodec.decode(
+            PeerCodec.encode(PeerMessage.Carry("GET", "/store", null, 1)).let {
+                it.copyOfRange(4, it.size)
+            },
+        ) as PeerMessage.Carry
         assertEquals(null, none.body)
-        val carried = PeerCodec.decode(PeerCodec.encode(PeerMessage.Carried(409, "[]".encodeToByteArray())).let { it.copyOfRange(4, it.size) }) as PeerMessage.Carried
+        val carried = PeerCodec.decode(
+            PeerCodec.encode(PeerMessage.Carried(409, "[]".encodeToByteArray())).let {
+                it.copyOfRange(4, it.size)
+            },
+        ) as PeerMessage.Carried
         assertEquals(409 to "[]", carried.status to carried.body.decodeToString())
-        assertEquals(PeerMessage.Unknown(9), PeerCodec.decode(byteArrayOf(9, 1, 2)), "a later version's message is no reason to hang up")
+        assertEquals(
+            PeerMessage.Unknown(9),
+            PeerCodec.decode(byteArrayOf(9, 1, 2)),
+            "a later version's message is no reason to hang up",
+        )
         for (bad in listOf(byteArrayOf(2, 0), byteArrayOf(1, 1), byteArrayOf())) {
             assertThrows(Malformed::class.java) { PeerCodec.decode(bad) }
         }
