--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -14,7 +14,7 @@
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
-import io.otterknot.state.ValueLimits
+import io.otterknot.state.WriteLimits
 import io.otterknot.wire.Guard
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobStatus
@@ -38,7 +38,7 @@
     private val views: () -> List<PartView>,
     private val types: () -> List<MachineType>?,
     private val teams: List<TeamFacts>,
-    private val limits: ValueLimits,
+    private val limits: WriteLimits,
     private val isolated: () -> Boolean,
     private val wallMs: () -> Long,
     private val random: Random,
@@ -62,15 +62,21 @@
         }
         val offered = types() ?: return later("the machine types are not known yet")
         impossible(spec, offered)?.let { return refuse(id, 422, it) }
+        if (!spec.awaits.isNullOrEmpty()) checkAwaited(spec)?.let { return it }
+        return store(spec)
+    }
+
+    /** Only what was accepted may be awaited; another node may have accepted it a moment ago. Null: all is well. */
+    private suspend fun checkAwaited(spec: JobSpec): HttpResponse? {
+        if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+        jobs[spec.id]?.let { return tell(it, 200) }
+        val unknown = spec.awaits.orEmpty().firstOrNull { jobs[it] == null } ?: return null
+        return refuse(spec.id, 422, "Awaits names $unknown, which was never accepted")
+    }
+
+    /** Brings the job in. What the state service refuses for its size is sent again in smaller values, if it can be. */
+    private suspend fun store(spec: JobSpec): HttpResponse {
         val awaits = spec.awaits.orEmpty()
-        if (awaits.isNotEmpty()) {
-            // Only what was accepted may be awaited; another node may have accepted it a moment ago.
-            if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
-            jobs[spec.id]?.let { return tell(it, 200) }
-            awaits.firstOrNull {
-                jobs[it] == null
-            }?.let { return refuse(id, 422, "Awaits names $it, which was never accepted") }
-        }
         val record = JobRecord(
             spec = spec,
             // What waits for others is nobody's load yet.
@@ -78,37 +84,33 @@
             submittedMs = wallMs(),
             nonce = random.nextLong().toULong().toString(36),
         )
-        val key = Keys.job(spec.id)
-        val changes =
-            JobChanges.accept(key, record, limits)
-                ?: return refuse(id, 400, "the description is too long, or Awaits names too many jobs")
-        if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
-        return when (val outcome = client.txn(changes.map { Guard(it.key, 0) }, changes)) {
-            is TxnOutcome.Applied -> accepted(spec)
-
-            is TxnOutcome.Conflict ->
-                if (replica.reach(
-                        outcome.revision,
-                        REACH_MS,
-                    )
-                ) {
-                    current(spec.id, 200)
-                } else {
-                    later("the job is known; its state is being read")
-                }
+        var tried = limits
+        repeat(SIZE_TRIES) {
+            val changes = JobChanges.accept(Keys.job(spec.id), record, tried) ?: return refuse(spec.id, 400, TOO_LONG)
+            if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
+            val outcome = client.txn(changes.map { Guard(it.key, 0) }, changes)
+            if (outcome !is TxnOutcome.Refused || !outcome.tooLarge) return stored(spec, record, outcome)
+            // Several values may be refused for their number, which says nothing of what others write.
+            if (changes.size == 1) limits.refused(changes)
+            tried = if (changes.size == 1) limits else tried.withSmallerValues()
+        }
+        return refuse(spec.id, 400, TOO_LONG)
+    }
 
-            is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
+    private suspend fun stored(spec: JobSpec, record: JobRecord, outcome: TxnOutcome): HttpResponse = when (outcome) {
+        is TxnOutcome.Applied -> accepted(spec)
 
-            is TxnOutcome.Unknown -> {
-                // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
-                if (replica.upToDate(REACH_MS) &&
-                    jobs[spec.id]?.record?.nonce == record.nonce
-                ) {
-                    accepted(spec)
-                } else {
-                    later("the state service did not answer")
-                }
-            }
+        is TxnOutcome.Conflict -> {
+            val read = replica.reach(outcome.revision, REACH_MS)
+            if (read) current(spec.id, 200) else later("the job is known; its state is being read")
+        }
+
+        is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
+
+        is TxnOutcome.Unknown -> {
+            // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
+            val isStored = replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce
+            if (isStored) accepted(spec) else later("the state service did not answer")
         }
     }
 
@@ -126,7 +128,7 @@
             if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later("the state service is away")
             val job = jobs[id] ?: return unknown(id)
             if (job.outcome != null) return tell(job, 200)
-            val changes = JobChanges.end(job, Final.CANCELLED, wallMs())
+            val changes = JobChanges.end(job, Final.CANCELLED, wallMs(), limits)
             if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
             when (val outcome = client.txn(listOf(Guard(Keys.job(id), job.version)), changes)) {
                 is TxnOutcome.Applied -> {
@@ -143,7 +145,10 @@
                     return later("the state service is slow")
                 }
 
-                is TxnOutcome.Refused -> return later("the state service does not take changes at the moment")
+                is TxnOutcome.Refused -> {
+                    if (!outcome.tooLarge) return later("the state service does not take changes at the moment")
+                    limits.refused(changes)
+                }
 
                 is TxnOutcome.Unknown -> if (!replica.upToDate(
                         REACH_MS,
@@ -224,5 +229,9 @@
         const val REACH_MS = 1_200L
         const val BARRIER_MS = 1_500L
         const val TRIES = 4
+
+        /** Each takes a quarter off the size of a value. */
+        const val SIZE_TRIES = 6
+        const val TOO_LONG = "the description is too long, or Awaits names too many jobs"
     }
 }
--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -5,6 +5,8 @@
 import io.otterknot.config.HostPort
 import io.otterknot.config.Settings
 import io.otterknot.config.SettingsFile
+import io.otterknot.controller.Controller
+import io.otterknot.controller.Links
 import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpServer
 import io.otterknot.peer.PeerClient
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/controller/CompletionSegments.kt
@@ -0,0 +1,106 @@
+package io.otterknot.controller
+
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartJob
+import io.otterknot.state.DoneRecord
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
+import io.otterknot.state.PendingWrite
+import io.otterknot.state.TaskBits
+import io.otterknot.state.WriteLimits
+import io.otterknot.state.encodeRecord
+import java.util.BitSet
+
+/**
+ * Decides how newly completed tasks are written. Completions of all jobs of a partition go to one segment until it is
+ * full; what it says of jobs that are over is dropped with its next change, and an empty segment is removed.
+ */
+class CompletionSegments(private val jobs: JobTable, private val limits: WriteLimits) {
+    /** The writes that make all completions of [part] durable, and those that remove what is of no use any more. */
+    fun writes(part: Part): List<PendingWrite> {
+        val segments = jobs.segments(Keys.done(part.zone, ""))
+        val added = additions(part, segments)
+        val written = added.mapTo(HashSet()) { it.key }
+        val removed = segments.filter { (key, record) -> key !in written && isObsolete(record) }.keys
+        return added + removed.map { PendingWrite(it, null) }
+    }
+
+    private fun isObsolete(record: DoneRecord): Boolean =
+        (record.bits.keys + record.fine?.keys.orEmpty()).none(jobs::matters)
+
+    private fun additions(part: Part, segments: Map<String, DoneRecord>): List<PendingWrite> {
+        val chunks = changedChunks(part)
+        if (chunks.isEmpty()) return emptyList()
+        val writes = ArrayList<PendingWrite>()
+        var number = lastNumber(part, segments.keys)
+        var segment = Segment(segments[key(part, number)] ?: DoneRecord())
+        for (chunk in chunks) {
+            if (!segment.add(chunk)) {
+                if (segment.changed) writes.add(segment.write(key(part, number)))
+                number++
+                segment = Segment(DoneRecord())
+                segment.add(chunk)
+            }
+        }
+        writes.add(segment.write(key(part, number)))
+        return writes
+    }
+
+    /** Some tasks of one job, with newly completed ones among them. */
+    private class Chunk(val job: PartJob, val index: Int) {
+        val size = TaskBits.chunkOf(job.spec.tasks)
+        val name = TaskBits.name(job.id, index)
+    }
+
+    private fun changedChunks(part: Part): List<Chunk> = part.jobs.filterNot { it.fresh.isEmpty }.flatMap { job ->
+        val last = (job.fresh.length() - 1) / TaskBits.chunkOf(job.spec.tasks)
+        (0..last).map { Chunk(job, it) }
+    }
+
+    private fun key(part: Part, number: Int) = Keys.done(part.zone, "${part.token}-$number")
+
+    private fun lastNumber(part: Part, keys: Set<String>): Int {
+        val prefix = Keys.done(part.zone, "${part.token}-")
+        return keys.filter { it.startsWith(prefix) }.maxOfOrNull { it.removePrefix(prefix).toInt() } ?: 0
+    }
+
+    /** A segment as it shall be, without what is said of jobs that are over. */
+    private inner class Segment(record: DoneRecord) {
+        private val bits = record.bits.filterKeys(jobs::matters).toMutableMap()
+        private val fineBits = record.fine.orEmpty().filterKeys(jobs::matters).toMutableMap()
+
+        /** Whether something was added. */
+        var changed = false
+            private set
+
+        /** Adds a job's completions unless that makes the segment too large; an empty one takes anything. */
+        fun add(chunk: Chunk): Boolean {
+            val entries = if (chunk.size == TaskBits.CHUNK) bits else fineBits
+            val tasks = chunk.job.fresh.clone() as BitSet
+            entries[chunk.name]?.let { TaskBits.decodeInto(it, chunk.index, tasks, chunk.size) }
+            val text = TaskBits.encode(tasks, chunk.index, chunk.size)
+            val replaced = entries[chunk.name]?.let { size(chunk.name, it) } ?: 0
+            val isEmpty = bits.isEmpty() && fineBits.isEmpty()
+            if (!isEmpty && size() - replaced + size(chunk.name, text) > limits.recordBytes) return false
+            entries[chunk.name] = text
+            changed = true
+            return true
+        }
+
+        fun write(key: String): PendingWrite {
+            val record = DoneRecord(bits, fineBits.ifEmpty { null })
+            return PendingWrite(key, encodeRecord(DoneRecord.serializer(), record))
+        }
+
+        private fun size(): Int = listOf(bits, fineBits).sumOf { entries ->
+            entries.entries.sumOf { size(it.key, it.value) }
+        }
+
+        private fun size(name: String, text: String): Int = name.length + text.length + ENTRY_OVERHEAD_BYTES
+    }
+
+    private companion object {
+        /** Quotes, a colon and a comma. */
+        const val ENTRY_OVERHEAD_BYTES = 6
+    }
+}
--- a/src/main/kotlin/io/otterknot/cli/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -1,4 +1,4 @@
-package io.otterknot.cli
+package io.otterknot.controller
 
 import io.otterknot.api.UserApi
 import io.otterknot.cloud.CloudClient
@@ -39,7 +39,7 @@
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.StateLink
-import io.otterknot.state.ValueLimits
+import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
@@ -91,7 +91,7 @@
     private val jobs = JobTable()
 
     /** Nothing larger is written, now or once the limits are lowered. */
-    private val maxValueBytes = (facts.state.leastValueKb * 1024).toInt()
+    private val limits = WriteLimits((facts.state.leastValueKb * 1024).toInt(), facts.state.leastTxnOps)
     private val parts = LinkedHashMap<String, Part>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
     private val ownership: Ownership = Ownership(
@@ -121,22 +121,22 @@
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
     private val views = zones.associateWith { PartView(it) }
-    private val writer = Writer(state, replica, random, maxChanges = minOf(facts.state.leastTxnOps, MAX_BATCH))
-    private val keeper = Keeper(
-        state, replica, jobs, parts, ownership, writer, budget,
-        minOf(
-            (facts.state.leastValueKb * 1024 * RECORD_SHARE).toInt(),
-            MAX_RECORD_BYTES,
-        ),
-        facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name }, facts.state.leastTxnOps, nowMs, wallMs,
+    private val writer = Writer(state, replica, random, limits, nowMs)
+    private val recorder = PartitionRecorder(
+        replica, parts, ownership, writer,
+        CompletionSegments(jobs, limits),
+        JobFinisher(state, replica, jobs, ownership, budget, limits, wallMs),
+        limits,
+        facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name },
+        nowMs,
     )
     private val users = UserApi(
         state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
-        ValueLimits(maxValueBytes, facts.state.leastTxnOps), ::isolated, wallMs, random,
+        limits, ::isolated, wallMs, random,
     )
-    private val ownerTxn = OwnerTxn(state, replica, ownership, parts, random)
-    private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, facts.teams, zones, random)
-    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, maxValueBytes, nowMs, wallMs, random)
+    private val ownerTxn = OwnerTxn(state, replica, ownership, parts, limits, random)
+    private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, limits, facts.teams, zones, random)
+    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, limits, nowMs, wallMs, random)
     private val door = ReportDoor(settings.label, ownership, parts, nowMs)
     private val idleParts = IdleParts(views) { contact.sound }
     private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
@@ -164,7 +164,7 @@
         }
         duty("fleet") { fleet.manage() }
         duty("inspection") { fleet.inspect() }
-        duty("records") { keeper.keep() }
+        duty("records") { recorder.run() }
         duty("handover") { handover.balance() }
         duty("allotments") { allotments.share() }
         duty("announcements") { announcer.announce() }
@@ -332,12 +332,13 @@
         fun shape(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
         if (shape(known) == shape(offered)) return
         val value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered))
-        if (value.toString().length > maxValueBytes) return
+        val change = Change(put = Keys.TYPES, value = value)
+        if (!limits.fits(change)) return
         budget.take(1)
         // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
         val outcome = state.txn(
             listOf(Guard(Keys.TYPES, entry?.version ?: 0)),
-            listOf(Change(put = Keys.TYPES, value = value)),
+            listOf(change),
         )
         log.debug("machine types written: {}", outcome)
     }
@@ -402,9 +403,6 @@
         const val EVEN_REQUESTS = 0.7
         const val EVEN_CHANGES = 0.4
         const val EVEN_CALLS = 0.25
-        const val MAX_BATCH = 16
-        const val RECORD_SHARE = 0.8
-        const val MAX_RECORD_BYTES = 4_000
         const val ISOLATED_MS = 3_500L
         const val SEEK_MS = 6_000L
         const val REMEMBER_MS = 4_000L
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
@@ -0,0 +1,80 @@
+package io.otterknot.controller
+
+import io.otterknot.ownership.Ownership
+import io.otterknot.state.Final
+import io.otterknot.state.Job
+import io.otterknot.state.JobChanges
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.TxnOutcome
+import io.otterknot.state.WriteLimits
+import io.otterknot.wire.Guard
+import org.slf4j.LoggerFactory
+
+/**
+ * Writes the final states of jobs. The owner of a job's home partition makes it final once the completions of all its
+ * tasks are durable, or once a job that it awaits is cancelled; users are told of the latter without waiting for it.
+ */
+class JobFinisher(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val jobs: JobTable,
+    private val ownership: Ownership,
+    private val budget: RateBudget,
+    private val limits: WriteLimits,
+    private val wallMs: () -> Long,
+) {
+    private val log = LoggerFactory.getLogger(JobFinisher::class.java)
+
+    /** Writes all that are due, until a transaction fails. */
+    suspend fun finishAll() {
+        for ((homeZone, ended) in jobs.live.values.filter(::isDue).groupBy { it.record?.homeZone.orEmpty() }) {
+            for (batch in batches(ended)) if (!finish(homeZone, batch)) return
+        }
+    }
+
+    private fun isDue(job: Job): Boolean {
+        if (!job.complete && !job.needs.orphaned) return false
+        return job.record?.homeZone?.let(ownership::claimed) != null
+    }
+
+    /** A job that has further keys to remove is in a batch of its own. */
+    private fun batches(ended: List<Job>): List<List<Job>> {
+        val (large, small) = ended.partition { (it.record?.awaitKeys ?: 0) > 0 }
+        return small.chunked(minOf(budget.most, limits.txnOps, MAX_BATCH)) + large.map(::listOf)
+    }
+
+    /** Whether to go on with further batches. */
+    private suspend fun finish(homeZone: String, batch: List<Job>): Boolean {
+        val owner = ownership.guard(homeZone) ?: return true
+        val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
+        val changes = batch.flatMap { JobChanges.end(it, finalState(it), wallMs(), limits) }
+        budget.takeSpare(changes.size)
+        return when (val outcome = client.txn(guards, changes)) {
+            is TxnOutcome.Applied -> {
+                log.debug("done or cancelled: {}", batch.map { it.id })
+                replica.reach(outcome.revision, REACH_MS)
+            }
+
+            // Some job was cancelled or handed on meanwhile; what the replica then shows is tried again.
+            is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
+
+            is TxnOutcome.Refused -> {
+                if (outcome.tooLarge) limits.refused(changes)
+                false
+            }
+
+            is TxnOutcome.Unknown -> false
+        }
+    }
+
+    private fun finalState(job: Job): Final = if (job.needs.orphaned) Final.CANCELLED else Final.DONE
+
+    private companion object {
+        const val REACH_MS = 1_500L
+        const val MAX_BATCH = 8
+    }
+}
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -7,6 +7,7 @@
 import io.otterknot.state.Amount
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
+import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
@@ -24,6 +25,7 @@
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
     private val views: Map<String, PartView>,
+    private val limits: WriteLimits,
     private val teams: List<TeamFacts>,
     private val zones: List<String>,
     private val random: Random,
@@ -56,13 +58,9 @@
 
     private suspend fun consider(part: Part, team: String) {
         if (ownership.token(part.zone) != part.token || !part.settled) return
-        val (to, need) = views.values.filter { it.zone != part.zone }.firstNotNullOfOrNull { view ->
-            view.needs[team]?.let {
-                view.zone to
-                    it
-            }
-        }
-            ?: return
+        val receiver = views.values.firstOrNull { it.zone != part.zone && team in it.needs } ?: return
+        val need = receiver.needs.getValue(team)
+        val to = receiver.zone
         val spare = part.spare(team, to)
         val amount = Amount(minOf(spare.cores, need.cores), minOf(spare.cards, need.cards))
         if (amount.cores < LEAST && amount.cards < LEAST) return
@@ -74,14 +72,12 @@
         val entry = replica[key]
         val record = of(team)
         val mine = record.byZone[part.zone] ?: return
+        val value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount))
+        val change = Change(put = key, value = value)
+        if (!limits.fits(change)) return
         giving.add(part.zone to team)
         part.allot(team, mine - amount)
         try {
-            val change =
-                Change(
-                    put = key,
-                    value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount)),
-                )
             val settled = txn.settle(part, entry?.version ?: 0, change)
             log.info("{} gives {} of {} to {}: {}", part.zone, amount, team, to, settled)
         } finally {
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -6,6 +6,7 @@
 import io.otterknot.state.JobRecord
 import io.otterknot.state.Keys
 import io.otterknot.state.Spans
+import io.otterknot.state.WriteLimits
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
 import io.otterknot.wire.JobSpec
@@ -24,7 +25,7 @@
     private val parts: Map<String, Part>,
     private val views: Map<String, PartView>,
     private val offers: (zone: String, spec: JobSpec) -> Boolean,
-    private val maxValueBytes: Int,
+    private val limits: WriteLimits,
     private val nowMs: () -> Long,
     private val wallMs: () -> Long,
     private val random: Random,
@@ -78,12 +79,13 @@
         val spans = Spans.move(record.spans, tasks, zone)
         val key = Keys.job(held.id)
         val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
+        val change = Change(put = key, value = value)
         // What is cut into too many pieces stays where it is: a value that is too large would be refused.
-        if (spans.size > MAX_SPANS || value.toString().length > maxValueBytes) {
+        if (spans.size > MAX_SPANS || !limits.fits(change)) {
             part.settleHandover(held, tasks)
             return
         }
-        val settled = txn.settle(part, version, Change(put = key, value = value))
+        val settled = txn.settle(part, version, change)
         if (settled == OwnerTxn.Settled.PART_LOST) return
         log.debug("{}: {} tasks of {} to {}: {}", part.zone, tasks.cardinality(), held.id, zone, settled)
         part.settleHandover(held, tasks)
--- a/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -5,6 +5,7 @@
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
+import io.otterknot.state.WriteLimits
 import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
@@ -16,6 +17,7 @@
     private val replica: Replica,
     private val ownership: Ownership,
     private val parts: Map<String, Part>,
+    private val limits: WriteLimits,
     private val random: Random,
 ) {
     enum class Settled { APPLIED, NOT_APPLIED, PART_LOST }
@@ -24,9 +26,12 @@
      * Sends [change], guarded by its key's [version] and the part's key, until it is applied or surely never will be,
      * and waits until the replica shows which. A missing answer is settled by the same transaction again: it applies,
      * or the key has changed, by the first one carried out after all or by another; a late one is then ruled out.
+     * One that is refused for its size is not carried out. If an earlier try of it had no answer, that one may still be,
+     * and nothing else rules it out: the partition is then claimed anew, under a token that its guard does not know.
      */
     suspend fun settle(part: Part, version: Long, change: Change): Settled {
         val owner = Guard(Keys.part(part.zone), part.token)
+        var unanswered = false
         while (parts[part.zone] === part) {
             client.budget.takeSpare(1, lesser = true)
             when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
@@ -37,7 +42,19 @@
                     return shown(outcome.revision, part, Settled.NOT_APPLIED)
                 }
 
-                is TxnOutcome.Refused, is TxnOutcome.Unknown -> delay(400 + random.nextLong(600))
+                is TxnOutcome.Refused -> {
+                    if (outcome.tooLarge) {
+                        limits.refused(listOf(change))
+                        if (!unanswered) return Settled.NOT_APPLIED
+                        ownership.superseded(part.zone)
+                    }
+                    delay(400 + random.nextLong(600))
+                }
+
+                is TxnOutcome.Unknown -> {
+                    unanswered = true
+                    delay(400 + random.nextLong(600))
+                }
             }
         }
         return Settled.PART_LOST
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -20,7 +20,10 @@
     data class Conflict(val failed: List<String>, val revision: Long) : TxnOutcome
 
     /** Not carried out, and never will be. */
-    data class Refused(val status: Int) : TxnOutcome
+    data class Refused(val status: Int) : TxnOutcome {
+        /** Of a transaction without a lease: a value or the whole is larger than the service takes now. */
+        val tooLarge: Boolean get() = status == 400
+    }
 
     /** Carried out, or still to be carried out, or not: only reading tells. */
     data class Unknown(val why: String) : TxnOutcome
--- a/src/main/kotlin/io/otterknot/state/Writer.kt
+++ b/src/main/kotlin/io/otterknot/state/Writer.kt
@@ -7,48 +7,42 @@
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
-/** What one owner wants its keys to hold; null: the key shall be absent. */
-class Wish(val key: String, val value: JsonElement?)
+/**
+ * What a partition's owner wants one of its keys to hold; null: the key shall be absent. [after]: keys whose pending
+ * writes must come first, or in the same transaction, as this one gives up what they take.
+ */
+class PendingWrite(val key: String, val value: JsonElement?, val after: Set<String> = emptySet()) {
+    fun toChange(): Change = if (value == null) Change(remove = key) else Change(put = key, value = value)
+}
 
 /**
- * Brings the keys that only a part's owner writes to what it wishes, in batches. Each key's known version is guarded
- * besides the part's key: a transaction that was given up and is carried out late can then change nothing.
+ * Brings the keys that only a partition's owner writes to what it wants, in batches. Each key's known version is guarded
+ * besides the partition's key: a transaction that was given up and is carried out late can then change nothing.
+ *
+ * A batch that is refused for its size is tried again in smaller batches; a single value that is refused is set aside
+ * for a while, so that it does not hold up the others, or until something smaller is to be written.
  */
 class Writer(
     private val client: StateClient,
     private val replica: Replica,
     private val random: Random,
-    private val maxChanges: Int,
-    private val maxBytes: Int = 40_000,
+    private val limits: WriteLimits,
+    private val nowMs: () -> Long,
 ) {
     private val log = LoggerFactory.getLogger(Writer::class.java)
 
+    private class SetAside(val write: PendingWrite, val untilMs: Long)
+
+    /** By key, what was refused for its size last. */
+    private val setAside = HashMap<String, SetAside>()
+
     /** Sends what differs from the replica; false: nothing to send. */
-    suspend fun write(owner: Guard, wishes: List<Wish>, onGuardLost: () -> Unit): Boolean {
-        val guards = ArrayList<Guard>()
-        val changes = ArrayList<Change>()
-        var bytes = 0
-        val most = minOf(maxChanges, client.budget.most)
-        for (wish in wishes) {
-            val entry = replica[wish.key]
-            if (entry?.value == wish.value) continue
-            val size = wish.key.length * 2 + 80 + (wish.value?.toString()?.length ?: 0)
-            if (changes.size >= most || (changes.isNotEmpty() && bytes + size > maxBytes)) break
-            guards.add(Guard(wish.key, entry?.version ?: 0))
-            changes.add(
-                if (wish.value ==
-                    null
-                ) {
-                    Change(remove = wish.key)
-                } else {
-                    Change(put = wish.key, value = wish.value)
-                },
-            )
-            bytes += size
-        }
-        if (changes.isEmpty()) return false
+    suspend fun write(owner: Guard, writes: List<PendingWrite>, onGuardLost: () -> Unit): Boolean {
+        val batch = nextBatch(writes)
+        if (batch.isEmpty()) return false
+        val changes = batch.map(PendingWrite::toChange)
+        val guards = batch.map { Guard(it.key, replica[it.key]?.version ?: 0) } + owner
         client.budget.takeSpare(changes.size)
-        guards.add(owner)
         when (val outcome = client.txn(guards, changes)) {
             is TxnOutcome.Applied -> replica.reach(outcome.revision, REACH_MS)
 
@@ -59,13 +53,55 @@
 
             is TxnOutcome.Refused, is TxnOutcome.Unknown -> {
                 log.info("batch of {} not written: {}", changes.size, outcome)
-                delay(300 + random.nextLong(500))
+                if (outcome is TxnOutcome.Refused && outcome.tooLarge) refusedForSize(batch)
+                delay(PAUSE_MS + random.nextLong(PAUSE_JITTER_MS))
             }
         }
         return true
     }
 
+    /** As much as one transaction may hold of what differs from the replica, in the given order. */
+    private fun nextBatch(writes: List<PendingWrite>): List<PendingWrite> {
+        val batch = ArrayList<PendingWrite>()
+        val passedOver = HashSet<String>()
+        var bytes = 0
+        val mostChanges = minOf(limits.txnOps, client.budget.most, MAX_CHANGES)
+        for (write in writes) {
+            if (replica[write.key]?.value == write.value) continue
+            if (isSetAside(write) || write.after.any { it in passedOver }) {
+                passedOver.add(write.key)
+                continue
+            }
+            val size = write.key.length * 2 + CHANGE_OVERHEAD_BYTES + write.toChange().valueBytes
+            if (batch.size >= mostChanges || (batch.isNotEmpty() && bytes + size > MAX_BYTES)) break
+            batch.add(write)
+            bytes += size
+        }
+        return batch
+    }
+
+    private fun isSetAside(write: PendingWrite): Boolean {
+        val refused = setAside[write.key] ?: return false
+        if (refused.write.value == write.value && nowMs() < refused.untilMs) return true
+        setAside.remove(write.key)
+        return false
+    }
+
+    private fun refusedForSize(batch: List<PendingWrite>) {
+        limits.refused(batch.map(PendingWrite::toChange))
+        val single = batch.singleOrNull() ?: return
+        setAside[single.key] = SetAside(single, nowMs() + SET_ASIDE_MS)
+    }
+
     private companion object {
         const val REACH_MS = 2_000L
+        const val PAUSE_MS = 300L
+        const val PAUSE_JITTER_MS = 500L
+        const val SET_ASIDE_MS = 5_000L
+        const val MAX_CHANGES = 16
+        const val MAX_BYTES = 40_000
+
+        /** Of a change and its guard, what surrounds the key and the value. */
+        const val CHANGE_OVERHEAD_BYTES = 80
     }
 }
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -1,7 +1,5 @@
 package io.otterknot
 
-import io.otterknot.cli.Controller
-import io.otterknot.cli.Links
 import io.otterknot.config.CloudFacts
 import io.otterknot.config.Endpoints
 import io.otterknot.config.Facts
@@ -12,6 +10,8 @@
 import io.otterknot.config.StateFacts
 import io.otterknot.config.TeamFacts
 import io.otterknot.config.WorkerFacts
+import io.otterknot.controller.Controller
+import io.otterknot.controller.Links
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
 import io.otterknot.http.Reply
--- a/src/test/kotlin/io/otterknot/FormatTest.kt
+++ b/src/test/kotlin/io/otterknot/FormatTest.kt
@@ -17,6 +17,7 @@
 import io.otterknot.state.PartRecord
 import io.otterknot.state.Span
 import io.otterknot.state.TaskBits
+import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.JobSpec
@@ -82,7 +83,7 @@
     @Test
     fun `records as they are written now are what production expects, without what it drops`() {
         val job = Job("j-000412").also { it.record = decodeRecord(JobRecord.serializer(), productionJob) }
-        val end = JobChanges.end(job, Final.DONE, 5_000).single()
+        val end = JobChanges.end(job, Final.DONE, 5_000, WriteLimits(2_048, 6)).single()
         assertEquals(json("""{"a":[],"t":0,"x":"d","c":16}"""), ProductionCodec.record(end.key, end.value!!))
         val waiting = JobRecord(
             JobSpec(
--- a/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
@@ -77,8 +77,39 @@
             if (state.tooLarge.isNotEmpty()) broken.add("refused for size: ${state.tooLarge}")
         }
 
+        /** Nothing in the settings tells of these limits: only refusals do, and nothing may be lost or held up by them. */
+        private fun unannounced() = listOf("before", "while", "after").map { moment ->
+            Case("limits that nobody announced hold from $moment the upgrade on", seeds = 1) {
+                fun lower() {
+                    state.maxValueBytes = 1_100
+                    state.maxOps = 3
+                }
+                old.addAll(nodes)
+                nodes.forEach(::restart)
+                for (zone in zones) repeat(45) { boot(zone, spot = it % 2 == 0) }
+                delay(6_000)
+                if (moment == "before") lower()
+                for (node in nodes) {
+                    crash(node)
+                    old.remove(node)
+                    delay(3_000)
+                    startNode(node)
+                    delay(2_000)
+                    if (moment == "while" && node == nodes[1]) lower()
+                }
+                scope.launch { pipelines(4, 1_500) }
+                pipeline(5_000, fan = 110, runS = 2.0)
+                for (id in 301..320) user(spec(id, 20, 5.0))
+                delay(4_000)
+                if (moment == "after") lower()
+                machines().take(20).forEach(::take)
+                for (id in 321..340) user(spec(id, 20, 5.0), if (id % 4 == 0) 3_000 else null)
+                delay(20_000)
+            }
+        }
+
         @JvmStatic
-        fun cases() = gaps() + listOf(
+        fun cases() = gaps() + unannounced() + listOf(
             Case("pipelines, some called off", mixture = false) { pipelines(8) },
             Case("a chain of thirty and a fan of fifty", seeds = 1, mixture = false) {
                 user(job(2_000, 1, 0.5))
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -15,7 +15,7 @@
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
 import io.otterknot.state.Span
-import io.otterknot.state.ValueLimits
+import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
@@ -270,7 +270,7 @@
 
     private fun list(count: Int) = List(count) { "j-%06d".format(it * 37) }
 
-    private fun accepted(awaits: List<String>, limits: ValueLimits): List<Change>? = JobChanges.accept(
+    private fun accepted(awaits: List<String>, limits: WriteLimits): List<Change>? = JobChanges.accept(
         Keys.job(id(1)),
         JobRecord(spec(1, emptyList()).copy(awaits = awaits), listOf(Span("a", 0, 2))),
         limits,
@@ -278,7 +278,7 @@
 
     @Test
     fun `a long list is written in keys of its own in one transaction, and is read whole or not at all`() {
-        val limits = ValueLimits(2_048, 6)
+        val limits = WriteLimits(2_048, 6)
         assertEquals(1, accepted(list(20), limits)!!.size)
         assertEquals(null, accepted(list(2_000), limits))
         val changes = accepted(list(900), limits)!!
@@ -299,7 +299,7 @@
                 if (index == order.size - 1) assertEquals(list(900).toSet(), read[id(1)]!!.needs.ids)
             }
             // Its end removes them, and does not depend on what they held.
-            val ending = JobChanges.end(read[id(1)]!!, Final.CANCELLED, 7)
+            val ending = JobChanges.end(read[id(1)]!!, Final.CANCELLED, 7, limits)
             assertEquals(changes.map { it.key }.toSet(), ending.map { it.key }.toSet())
             assertEquals(Final.CANCELLED, decodeRecord(JobRecord.serializer(), ending.first().value!!).final)
         }
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
@@ -0,0 +1,150 @@
+package io.otterknot
+
+import io.otterknot.http.Reply
+import io.otterknot.http.Transport
+import io.otterknot.ownership.OwnerTxn
+import io.otterknot.ownership.Ownership
+import io.otterknot.placement.Aims
+import io.otterknot.placement.Part
+import io.otterknot.placement.PartTimes
+import io.otterknot.state.Figures
+import io.otterknot.state.Keys
+import io.otterknot.state.PendingWrite
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.WriteLimits
+import io.otterknot.state.Writer
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonPrimitive
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.random.Random
+
+/** What follows when the state service refuses a value or a transaction for its size, although the settings allow it. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class WriteLimitsTest {
+    private fun value(bytes: Int) = JsonPrimitive("x".repeat(bytes - 2))
+
+    @ParameterizedTest
+    @CsvSource("1,4000,3000,40", "1,1100,1024,40", "2,4000,8192,1", "16,100,8192,8", "17,100,8192,8")
+    fun `several changes are halved in number, a single one in size`(count: Int, bytes: Int, value: Int, ops: Int) {
+        val limits = WriteLimits(8_192, 40)
+        limits.refused(List(count) { Change(put = "k$it", value = value(bytes)) })
+        assertEquals(value to ops, limits.valueBytes to limits.txnOps)
+    }
+
+    @Test
+    fun `limits count bytes, not characters`() {
+        val limits = WriteLimits(1_024, 4)
+        assertTrue(limits.fits(Change(put = "k", value = JsonPrimitive("l".repeat(1_000)))))
+        assertTrue(!limits.fits(Change(put = "k", value = JsonPrimitive("ł".repeat(1_000)))))
+    }
+
+    private class Bench(val state: StateStandIn, val client: StateClient, val replica: Replica)
+
+    private fun TestScope.bench(transport: (StateStandIn) -> Transport = { it.link("n") }): Bench {
+        val now = { testScheduler.currentTime }
+        val state = StateStandIn(this, Random(1), now)
+        val link = transport(state)
+        val client = StateClient(link, state.link("n"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
+        val replica = Replica(client, Random(1), now, 20)
+        return Bench(state, client, replica)
+    }
+
+    @Test
+    fun `one value that is refused holds up only what depends on it`() = runTest {
+        val bench = bench()
+        val follower = launch { bench.replica.follow() }
+        bench.replica.awaitLoaded()
+        bench.state.maxValueBytes = 1_500
+        bench.state.maxOps = 3
+        val writer =
+            Writer(bench.client, bench.replica, Random(1), WriteLimits(8_192, 40)) { testScheduler.currentTime }
+        val small = (1..9).map { PendingWrite("o/d/a/$it", value(100)) }
+        val large = PendingWrite("o/m/a/0", value(2_000))
+        val dependent = PendingWrite("o/m/a/1", value(200), after = setOf(large.key))
+        val chained = PendingWrite("o/m/a/2", value(200), after = setOf(dependent.key))
+        val writes = listOf(large, dependent, chained) + small
+        while (testScheduler.currentTime < 4_000 && writer.write(Guard("o/p/a", 0), writes) {}) Unit
+        assertTrue(small.all { bench.state.value(it.key) != null }, "the others are written")
+        assertTrue(
+            writes.take(3).all {
+                bench.state.value(it.key) == null
+            },
+            "nothing is given up that nobody has taken",
+        )
+        val smaller = PendingWrite(large.key, value(1_000))
+        while (writer.write(Guard("o/p/a", 0), listOf(smaller, dependent, chained)) {}) Unit
+        assertTrue(writes.all { bench.state.value(it.key) != null }, "once it is smaller, all are written at once")
+        assertTrue(testScheduler.currentTime < 7_000)
+        follower.cancel()
+    }
+
+    /** Answers each transaction with the next status; null: no answer comes. */
+    private fun script(state: StateStandIn, statuses: List<Int?>): Transport {
+        val left = ArrayDeque(statuses)
+        val link = state.link("n")
+        return Transport { method, target, body, timeoutMs ->
+            val isChange = target == "/txn" && body!!.decodeToString().contains(Keys.JOBS)
+            val status = if (isChange && left.isNotEmpty()) left.removeFirst() else 0
+            when (status) {
+                0 -> link.call(method, target, body, timeoutMs)
+                null -> Reply.None("lost")
+                else -> Reply.Answer(status, """{"error":"trouble"}""".encodeToByteArray())
+            }
+        }
+    }
+
+    /** A transaction without an answer may be carried out late: to go on as if it were not could start tasks twice. */
+    @ParameterizedTest
+    @CsvSource("400|,NOT_APPLIED", "429|503|400|,NOT_APPLIED", "|400|,PART_LOST", "429|,APPLIED", "||,APPLIED")
+    fun `a change refused for its size is settled only if no earlier try of it may still come`(
+        answers: String,
+        expected: String,
+    ) = runTest {
+        val statuses = answers.split('|').dropLast(1).map { it.toIntOrNull() }
+        val bench = bench { script(it, statuses) }
+        val parts = HashMap<String, Part>()
+        val now = { testScheduler.currentTime }
+        val ownership = Ownership(
+            "n", listOf("a"), mapOf("n" to "a"), bench.client, bench.replica, 20_000, now, Random(1),
+            machines = { emptySet() },
+            onClaim = { _, _, _ -> },
+            onLoss = { parts.remove(it) },
+            mayClaim = { true },
+        )
+        val running = launch {
+            launch { bench.replica.follow() }
+            launch { ownership.keepLease() }
+            launch { ownership.claimParts() }
+        }
+
+        bench.replica.awaitLoaded()
+        while (ownership.token("a") == null) kotlinx.coroutines.delay(50)
+        val token = ownership.token("a")!!
+        val part = Part(
+            "a", token, 0, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { null }, emptyList(), emptyMap(),
+        )
+        parts["a"] = part
+        val txn = OwnerTxn(bench.client, bench.replica, ownership, parts, WriteLimits(8_192, 40), Random(1))
+        val settled = txn.settle(part, 0, Change(put = Keys.job("j-1"), value = value(100)))
+        assertEquals(expected, settled.name)
+        kotlinx.coroutines.delay(2_000)
+        val lost = expected == "PART_LOST"
+        assertEquals(lost, ownership.token("a")!! > token, "what may still come is guarded by the token before")
+        running.cancel()
+        currentCoroutineContext().cancelChildren()
+    }
+}
