--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -2,9 +2,9 @@
 
 import io.otterknot.config.TeamFacts
 import io.otterknot.http.HttpResponse
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartChooser
-import io.otterknot.placement.PartView
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionChooser
+import io.otterknot.placement.PartitionView
 import io.otterknot.state.Final
 import io.otterknot.state.Job
 import io.otterknot.state.JobChanges
@@ -34,8 +34,8 @@
     private val client: StateClient,
     private val replica: Replica,
     private val jobs: JobTable,
-    private val parts: Map<String, Part>,
-    private val views: () -> List<PartView>,
+    private val partitions: Map<String, Partition>,
+    private val views: () -> List<PartitionView>,
     private val types: () -> List<MachineType>?,
     private val teams: List<TeamFacts>,
     private val limits: WriteLimits,
@@ -80,7 +80,7 @@
         val record = JobRecord(
             spec = spec,
             // What waits for others is nobody's load yet.
-            spans = PartChooser.deal(spec, if (awaits.all(::done)) views() else views().map { it.copy() }, random),
+            spans = PartitionChooser.deal(spec, if (awaits.all(::done)) views() else views().map { it.copy() }, random),
             submittedMs = wallMs(),
             nonce = random.nextLong().toULong().toString(36),
         )
@@ -176,7 +176,7 @@
 
         null -> {
             val done = job.done.cardinality()
-            val running = parts.values.sumOf { it.runningTasks(job.id) }
+            val running = partitions.values.sumOf { it.runningTasks(job.id) }
             status(JobStatus(job.id, if (running > 0 || done > 0) "running" else "queued", done, running), code)
         }
     }
--- a/src/main/kotlin/io/otterknot/cli/Rehearsal.kt
+++ b/src/main/kotlin/io/otterknot/cli/ClassDataWarmup.kt
@@ -16,7 +16,7 @@
  * A short run on loopback against answers that never change, so that the classes of an ordinary start are loaded and
  * can be archived. What it answers is of no importance.
  */
-internal object Rehearsal {
+internal object ClassDataWarmup {
     private const val SETTINGS = """
 label = "holt-0"
 domain = "a"
@@ -92,8 +92,8 @@
         }
         // Told for the first time a minute after a start, when nobody should wait for its classes.
         Figures { 0 }.apply {
-            count("rehearsal")
-            took("rehearsal", 1)
+            count("warm-up")
+            took("warm-up", 1)
             countsText()
             timesText()
         }
--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -57,11 +57,11 @@
     check.mixinStandardHelpOptions(true)
     check.addOption(configOption())
     root.addSubcommand("check", check)
-    val rehearse = CommandSpec.create().name("rehearse")
-    rehearse.usageMessage().description(
+    val warmup = CommandSpec.create().name("warm-up")
+    warmup.usageMessage().description(
         "Loads what a controller uses and ends; the build makes its class-data archive from it.",
     ).hidden(true)
-    root.addSubcommand("rehearse", rehearse)
+    root.addSubcommand("warm-up", warmup)
     val command = CommandLine(root)
     command.executionStrategy = CommandLine.IExecutionStrategy { parsed ->
         CommandLine.executeHelpRequest(parsed) ?: execute(parsed)
@@ -74,7 +74,7 @@
 
 private fun execute(parsed: CommandLine.ParseResult): Int {
     val leaf = generateSequence(parsed) { it.subcommand() }.last()
-    if (leaf.commandSpec().name() == "rehearse") return Rehearsal.run()
+    if (leaf.commandSpec().name() == "warm-up") return ClassDataWarmup.run()
     val path = leaf.matchedOptionValue<Path>(CONFIG, null)
     if (path == null) {
         System.err.println("otterknot: $CONFIG FILE is missing")
--- a/src/main/kotlin/io/otterknot/controller/CompletionSegments.kt
+++ b/src/main/kotlin/io/otterknot/controller/CompletionSegments.kt
@@ -1,7 +1,7 @@
 package io.otterknot.controller
 
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartJob
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionJob
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
@@ -16,10 +16,12 @@
  * full; what it says of jobs that are over is dropped with its next change, and an empty segment is removed.
  */
 class CompletionSegments(private val jobs: JobTable, private val limits: WriteLimits) {
-    /** The writes that make all completions of [part] durable, and those that remove what is of no use any more. */
-    fun writes(part: Part): List<PendingWrite> {
-        val segments = jobs.segments(Keys.done(part.zone, ""))
-        val added = additions(part, segments)
+    /**
+     * The writes that make all completions of [partition] durable, and those that remove what is of no use any more.
+     */
+    fun writes(partition: Partition): List<PendingWrite> {
+        val segments = jobs.segments(Keys.done(partition.zone, ""))
+        val added = additions(partition, segments)
         val written = added.mapTo(HashSet()) { it.key }
         val removed = segments.filter { (key, record) -> key !in written && isObsolete(record) }.keys
         return added + removed.map { PendingWrite(it, null) }
@@ -28,39 +30,41 @@
     private fun isObsolete(record: DoneRecord): Boolean =
         (record.bits.keys + record.fine?.keys.orEmpty()).none(jobs::matters)
 
-    private fun additions(part: Part, segments: Map<String, DoneRecord>): List<PendingWrite> {
-        val chunks = changedChunks(part)
+    private fun additions(partition: Partition, segments: Map<String, DoneRecord>): List<PendingWrite> {
+        val chunks = changedChunks(partition)
         if (chunks.isEmpty()) return emptyList()
         val writes = ArrayList<PendingWrite>()
-        var number = lastNumber(part, segments.keys)
-        var segment = Segment(segments[key(part, number)] ?: DoneRecord())
+        var number = lastNumber(partition, segments.keys)
+        var segment = Segment(segments[key(partition, number)] ?: DoneRecord())
         for (chunk in chunks) {
             if (!segment.add(chunk)) {
-                if (segment.changed) writes.add(segment.write(key(part, number)))
+                if (segment.changed) writes.add(segment.write(key(partition, number)))
                 number++
                 segment = Segment(DoneRecord())
                 segment.add(chunk)
             }
         }
-        writes.add(segment.write(key(part, number)))
+        writes.add(segment.write(key(partition, number)))
         return writes
     }
 
     /** Some tasks of one job, with newly completed ones among them. */
-    private class Chunk(val job: PartJob, val index: Int) {
+    private class Chunk(val job: PartitionJob, val index: Int) {
         val size = TaskBits.chunkOf(job.spec.tasks)
         val name = TaskBits.name(job.id, index)
     }
 
-    private fun changedChunks(part: Part): List<Chunk> = part.jobs.filterNot { it.fresh.isEmpty }.flatMap { job ->
-        val last = (job.fresh.length() - 1) / TaskBits.chunkOf(job.spec.tasks)
+    private fun changedChunks(partition: Partition): List<Chunk> = partition.jobs.filterNot {
+        it.unrecorded.isEmpty
+    }.flatMap { job ->
+        val last = (job.unrecorded.length() - 1) / TaskBits.chunkOf(job.spec.tasks)
         (0..last).map { Chunk(job, it) }
     }
 
-    private fun key(part: Part, number: Int) = Keys.done(part.zone, "${part.token}-$number")
+    private fun key(partition: Partition, number: Int) = Keys.done(partition.zone, "${partition.token}-$number")
 
-    private fun lastNumber(part: Part, keys: Set<String>): Int {
-        val prefix = Keys.done(part.zone, "${part.token}-")
+    private fun lastNumber(partition: Partition, keys: Set<String>): Int {
+        val prefix = Keys.done(partition.zone, "${partition.token}-")
         return keys.filter { it.startsWith(prefix) }.maxOfOrNull { it.removePrefix(prefix).toInt() } ?: 0
     }
 
@@ -76,7 +80,7 @@
         /** Adds a job's completions unless that makes the segment too large; an empty one takes anything. */
         fun add(chunk: Chunk): Boolean {
             val entries = if (chunk.size == TaskBits.CHUNK) bits else fineBits
-            val tasks = chunk.job.fresh.clone() as BitSet
+            val tasks = chunk.job.unrecorded.clone() as BitSet
             entries[chunk.name]?.let { TaskBits.decodeInto(it, chunk.index, tasks, chunk.size) }
             val text = TaskBits.encode(tasks, chunk.index, chunk.size)
             val replaced = entries[chunk.name]?.let { size(chunk.name, it) } ?: 0
--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -16,16 +16,16 @@
 import io.otterknot.ownership.Ownership
 import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.peer.Announcer
-import io.otterknot.peer.IdleParts
+import io.otterknot.peer.IdlePartitions
 import io.otterknot.peer.PEER_ANSWER_MS
 import io.otterknot.peer.PeerMessage
 import io.otterknot.peer.PeerRelay
 import io.otterknot.peer.PeerTransport
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartTimes
-import io.otterknot.placement.PartView
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionTimings
+import io.otterknot.placement.PartitionView
 import io.otterknot.placement.TeamShare
 import io.otterknot.state.Amount
 import io.otterknot.state.Contact
@@ -48,7 +48,7 @@
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.MachineTypes
-import io.otterknot.workers.ReportDoor
+import io.otterknot.workers.ReportEndpoint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -92,14 +92,14 @@
 
     /** Nothing larger is written, now or once the limits are lowered. */
     private val limits = WriteLimits((facts.state.leastValueKb * 1024).toInt(), facts.state.leastTxnOps)
-    private val parts = LinkedHashMap<String, Part>()
+    private val partitions = LinkedHashMap<String, Partition>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
     private val ownership: Ownership = Ownership(
         settings.label, zones, domains, state, replica,
         leaseTtlMs(facts.workers.leaseS, facts.workers.cancelS), nowMs, random,
         machines = { registered(it).keys },
         onClaim = { zone, token, overriding -> claimed += Claim(zone, token, overriding) },
-        onLoss = { parts.remove(it) },
+        onLoss = { partitions.remove(it) },
         mayClaim = { fleet.types != null },
     )
     private class Claim(val zone: String, val token: Long, val overriding: Boolean)
@@ -116,14 +116,14 @@
         }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
     )
     private val fleet: Fleet = Fleet(
-        cloud, ownership, parts,
+        cloud, ownership, partitions,
         FleetPolicy(), aims,
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
-    private val views = zones.associateWith { PartView(it) }
+    private val views = zones.associateWith { PartitionView(it) }
     private val writer = Writer(state, replica, random, limits, nowMs)
     private val recorder = PartitionRecorder(
-        replica, parts, ownership, writer,
+        replica, partitions, ownership, writer,
         CompletionSegments(jobs, limits),
         JobFinisher(state, replica, jobs, ownership, budget, limits, wallMs),
         limits,
@@ -131,19 +131,20 @@
         nowMs,
     )
     private val users = UserApi(
-        state, replica, jobs, parts, { views.values.toList() }, { fleet.types }, facts.teams,
+        state, replica, jobs, partitions, { views.values.toList() }, { fleet.types }, facts.teams,
         limits, ::isolated, wallMs, random,
     )
-    private val ownerTxn = OwnerTxn(state, replica, ownership, parts, limits, random)
-    private val allotments = Allotments(ownerTxn, replica, ownership, parts, views, limits, facts.teams, zones, random)
-    private val handover = Handover(ownerTxn, ownership, parts, views, ::offers, limits, nowMs, wallMs, random)
-    private val door = ReportDoor(settings.label, ownership, parts, nowMs)
-    private val idleParts = IdleParts(views) { contact.sound }
-    private val announcer = Announcer(settings.label, idleParts, links.peers, parts, nowMs, random)
+    private val ownerTxn = OwnerTxn(state, replica, ownership, partitions, limits, random)
+    private val allotments =
+        Allotments(ownerTxn, replica, ownership, partitions, views, limits, facts.teams, zones, random)
+    private val handover = Handover(ownerTxn, ownership, partitions, views, ::offers, limits, nowMs, wallMs, random)
+    private val reports = ReportEndpoint(settings.label, ownership, partitions, nowMs)
+    private val idlePartitions = IdlePartitions(views) { contact.sound }
+    private val announcer = Announcer(settings.label, idlePartitions, links.peers, partitions, nowMs, random)
 
     /**
-     * This node's share of a limit: [even] of it goes evenly to all nodes, the rest with the parts, since their owners
-     * have the work. One node at a time may act for a part, so the shares never pass the whole together.
+     * This node's share of a limit: [even] of it goes evenly to all nodes, the rest with the partitions, since their
+     * owners have the work. One node at a time may act for a partition, so the shares never pass the whole together.
      */
     private fun share(even: Double): Double = SHARE * (even / nodes + (1 - even) * ownership.ownedShare())
 
@@ -151,25 +152,25 @@
     suspend fun run() = coroutineScope {
         replica.onChange = ::changed
         replica.onBatch = ::takeUpClaims
-        duty("contact") { stateLink.probe() }
-        duty("replica") { replica.follow() }
-        duty("barrier") { replica.serveBarrier() }
-        duty("lease") { ownership.keepLease() }
-        duty("claims") { ownership.claimParts() }
-        duty("types") {
+        backgroundTask("contact") { stateLink.probe() }
+        backgroundTask("replica") { replica.follow() }
+        backgroundTask("barrier") { replica.serveBarrier() }
+        backgroundTask("lease") { ownership.keepLease() }
+        backgroundTask("claims") { ownership.claimPartitions() }
+        backgroundTask("types") {
             // What is remembered will do for a start, when there is most to do.
             withTimeoutOrNull(REMEMBER_MS) { replica.awaitLoaded() }
             if (fleet.types != null) delay(FRESH_TYPES_MS)
             fleet.learnTypes(::rememberTypes)
         }
-        duty("fleet") { fleet.manage() }
-        duty("inspection") { fleet.inspect() }
-        duty("records") { recorder.run() }
-        duty("handover") { handover.balance() }
-        duty("allotments") { allotments.share() }
-        duty("announcements") { announcer.announce() }
-        duty("work") { seekWork() }
-        duty("sweep") {
+        backgroundTask("fleet") { fleet.manage() }
+        backgroundTask("inspection") { fleet.inspect() }
+        backgroundTask("records") { recorder.run() }
+        backgroundTask("handover") { handover.balance() }
+        backgroundTask("allotments") { allotments.share() }
+        backgroundTask("announcements") { announcer.announce() }
+        backgroundTask("work") { seekWork() }
+        backgroundTask("sweep") {
             var slowUntilMs = Long.MIN_VALUE
             while (true) {
                 val before = nowMs()
@@ -179,13 +180,13 @@
                 figures.tellNowAndThen()
                 if (now - before > SWEEP_MS + SLOW_MS) slowUntilMs = now + SLOW_FOR_MS
                 takeUpClaims()
-                parts.values.forEach { it.sweep(now, slow = now < slowUntilMs) }
+                partitions.values.forEach { it.sweep(now, slow = now < slowUntilMs) }
             }
         }
     }
 
-    /** A long-lived duty is started again should it fail: nobody else would do its work. */
-    private fun CoroutineScope.duty(name: String, work: suspend CoroutineScope.() -> Unit) = launch {
+    /** A background task is started again should it fail: nobody else would do its work. */
+    private fun CoroutineScope.backgroundTask(name: String, work: suspend CoroutineScope.() -> Unit) = launch {
         while (true) {
             try {
                 coroutineScope { work() }
@@ -194,21 +195,21 @@
             } catch (e: Exception) {
                 log.error("{} failed and is started again", name, e)
             }
-            delay(DUTY_PAUSE_MS)
+            delay(RESTART_PAUSE_MS)
         }
     }
 
     suspend fun peer(message: PeerMessage): PeerMessage {
         if (message is PeerMessage.Carry) return carry(message)
         if (message is PeerMessage.Yield &&
-            parts[message.zone]?.mayYield(nowMs()) == true
+            partitions[message.zone]?.mayYield(nowMs()) == true
         ) {
             ownership.yieldTo(message.zone, message.owned)
         }
-        return idleParts.take(message, nowMs())
+        return idlePartitions.take(message, nowMs())
     }
 
-    /** A node that owns nothing while another has several parts asks for one, some time after it came up. */
+    /** A node that owns nothing while another has several partitions asks for one, some time after it came up. */
     private suspend fun seekWork() {
         while (true) {
             delay(SEEK_MS + random.nextLong(SEEK_MS))
@@ -252,7 +253,7 @@
     suspend fun route(request: HttpRequest): HttpResponse {
         val path = request.path
         return when {
-            path == "/v1/report" -> method(request, "POST") { door.handle(request.body) }
+            path == "/v1/report" -> method(request, "POST") { reports.handle(request.body) }
 
             path == "/ready" -> method(request, "GET") { users.ready() }
 
@@ -277,16 +278,20 @@
         when {
             key.startsWith(Keys.JOBS) -> {
                 val changed = jobs.changeJob(key, entry)
-                parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
+                partitions.values.forEach { partition ->
+                    changed.forEach { partition.updateJob(it, inherited = false) }
+                }
             }
 
             key.startsWith(Keys.AWAITS) -> {
                 val changed = jobs.changeAwaits(key, entry)
-                parts.values.forEach { part -> changed.forEach { part.updateJob(it, inherited = false) } }
+                partitions.values.forEach { partition ->
+                    changed.forEach { partition.updateJob(it, inherited = false) }
+                }
             }
 
             key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) {
-                parts.values.forEach {
+                partitions.values.forEach {
                     it.updateDone(job)
                 }
             }
@@ -294,10 +299,12 @@
             key.startsWith(Keys.MACHINES) -> {
                 val zone = key.substring(Keys.MACHINES.length).substringBefore('/')
                 registered.remove(zone)
-                parts[zone]?.registeredNow(registered(zone).keys)
+                partitions[zone]?.registeredNow(registered(zone).keys)
             }
 
-            key.startsWith(Keys.PARTS) -> ownership.partChanged(key.substring(Keys.PARTS.length), entry?.version)
+            key.startsWith(
+                Keys.PARTITIONS,
+            ) -> ownership.partitionChanged(key.substring(Keys.PARTITIONS.length), entry?.version)
 
             key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(
                 key.substring(Keys.OVERRIDES.length),
@@ -326,7 +333,7 @@
 
     /** Keeps what the cloud offers for controllers that start while it is away; prices alone are no reason to write. */
     private suspend fun rememberTypes(offered: List<MachineType>) {
-        while (!replica.loaded) delay(DUTY_PAUSE_MS)
+        while (!replica.loaded) delay(RESTART_PAUSE_MS)
         val entry = replica[Keys.TYPES]
         val known = entry?.let { decodeRecord(MachineTypes.serializer(), it.value).types }.orEmpty()
         fun shape(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
@@ -343,7 +350,7 @@
         log.debug("machine types written: {}", outcome)
     }
 
-    /** A claimed part is taken up once the replica holds everything that was written before the claim. */
+    /** A claimed partition is taken up once the replica holds everything that was written before the claim. */
     private fun takeUpClaims() {
         val due = claimed.filter { replica.revision >= it.token }
         claimed.removeAll(due)
@@ -353,26 +360,26 @@
             if (ownership.claimed(zone) != token) continue
             val registered = registered(zone)
             val now = nowMs()
-            val part =
-                Part(
+            val partition =
+                Partition(
                     zone, token, now,
                     ownership.othersUntilMs(
                         zone,
                         claim.overriding,
                     ),
-                    PartTimes(leaseMs), random, aims, {
+                    PartitionTimings(leaseMs), random, aims, {
                         wallMs() -
                             nowMs() +
                             it
                     }, fleet::type, teamShares(zone), registered,
                 )
-            jobs.live.values.forEach { part.updateJob(it, inherited = true) }
-            parts[zone] = part
-            log.info("{}: taken up with {} jobs and {} registered machines", zone, part.jobs.size, registered.size)
+            jobs.live.values.forEach { partition.updateJob(it, inherited = true) }
+            partitions[zone] = partition
+            log.info("{}: taken up with {} jobs and {} registered machines", zone, partition.jobs.size, registered.size)
         }
     }
 
-    /** The machines that may hold tasks of a part, with their types. */
+    /** The machines that may hold tasks of a partition, with their types. */
     private fun registered(zone: String): Map<String, String> = registered.getOrPut(zone) {
         val types = HashMap<String, String>()
         replica.machineSegments(zone).values.forEach(types::putAll)
@@ -410,6 +417,6 @@
         const val SWEEP_MS = 500L
         const val SLOW_MS = 1_500L
         const val SLOW_FOR_MS = 5_000L
-        const val DUTY_PAUSE_MS = 500L
+        const val RESTART_PAUSE_MS = 500L
     }
 }
--- a/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
+++ b/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
@@ -37,7 +37,7 @@
     }
 
     private fun isDue(job: Job): Boolean {
-        if (!job.complete && !job.needs.orphaned) return false
+        if (!job.complete && !job.dependencies.orphaned) return false
         return job.record?.homeZone?.let(ownership::claimed) != null
     }
 
@@ -71,7 +71,7 @@
         }
     }
 
-    private fun finalState(job: Job): Final = if (job.needs.orphaned) Final.CANCELLED else Final.DONE
+    private fun finalState(job: Job): Final = if (job.dependencies.orphaned) Final.CANCELLED else Final.DONE
 
     private companion object {
         const val REACH_MS = 1_500L
--- a/src/main/kotlin/io/otterknot/controller/PartitionRecorder.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionRecorder.kt
@@ -1,7 +1,7 @@
 package io.otterknot.controller
 
 import io.otterknot.ownership.Ownership
-import io.otterknot.placement.Part
+import io.otterknot.placement.Partition
 import io.otterknot.state.Keys
 import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
@@ -21,7 +21,7 @@
  */
 class PartitionRecorder(
     private val replica: Replica,
-    private val parts: Map<String, Part>,
+    private val partitions: Map<String, Partition>,
     private val ownership: Ownership,
     private val writer: Writer,
     private val completions: CompletionSegments,
@@ -37,37 +37,37 @@
         while (true) {
             delay(PAUSE_MS)
             if (!replica.loaded) continue
-            for (part in parts.values.toList()) {
-                val guard = ownership.guard(part.zone) ?: continue
-                if (guard.version != part.token) continue
-                writer.write(guard, writes(part)) { ownership.superseded(part.zone) }
+            for (partition in partitions.values.toList()) {
+                val guard = ownership.guard(partition.zone) ?: continue
+                if (guard.version != partition.token) continue
+                writer.write(guard, writes(partition)) { ownership.superseded(partition.zone) }
             }
             finisher.finishAll()
         }
     }
 
     /** The most pressing first: a batch may not take all. */
-    private fun writes(part: Part): List<PendingWrite> =
-        machines(part) + completions.writes(part) + listOfNotNull(overrideEnd(part), mean(part))
+    private fun writes(partition: Partition): List<PendingWrite> =
+        machines(partition) + completions.writes(partition) + listOfNotNull(overrideEnd(partition), mean(partition))
 
     /** Removes the mark that an earlier owner may still act, once it surely does not. */
-    private fun overrideEnd(part: Part): PendingWrite? {
-        val key = Keys.override(part.zone)
-        if (replica[key] == null || nowMs() <= part.othersUntilMs) return null
+    private fun overrideEnd(partition: Partition): PendingWrite? {
+        val key = Keys.override(partition.zone)
+        if (replica[key] == null || nowMs() <= partition.othersUntilMs) return null
         return PendingWrite(key, null)
     }
 
-    private fun machines(part: Part): List<PendingWrite> {
-        val added = part.unregistered().associate { it.id to it.type.name }
-        if (added.isEmpty() && part.retired.isEmpty()) return emptyList()
-        val stored = replica.machineSegments(part.zone)
-        val changed = Segments.spread(stored, part.retired, added, limits.recordBytes / MACHINE_BYTES)
+    private fun machines(partition: Partition): List<PendingWrite> {
+        val added = partition.unregistered().associate { it.id to it.type.name }
+        if (added.isEmpty() && partition.retired.isEmpty()) return emptyList()
+        val stored = replica.machineSegments(partition.zone)
+        val changed = Segments.spread(stored, partition.retired, added, limits.recordBytes / MACHINE_BYTES)
         val earlier = LinkedHashSet<String>()
         return changed.map { (segment, types) ->
-            val key = Keys.machines(part.zone, segment)
+            val key = Keys.machines(partition.zone, segment)
             val value = if (types.isEmpty()) null else encodeRecord(MachinesRecord.serializer(), MachinesRecord(types))
             // A machine must be in some segment at any time: what loses one is written after what takes it.
-            val moved = stored[segment].orEmpty().keys - types.keys - part.retired
+            val moved = stored[segment].orEmpty().keys - types.keys - partition.retired
             val after = if (moved.isEmpty()) emptySet() else earlier.toSet()
             earlier.add(key)
             PendingWrite(key, value, after)
@@ -75,21 +75,21 @@
     }
 
     /** The partition's mean, once it has moved by a tenth and at most every two seconds. */
-    private fun mean(part: Part): PendingWrite? {
+    private fun mean(partition: Partition): PendingWrite? {
         val now = nowMs()
-        if (now - (meanSentMs[part.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
-        val key = Keys.mean(part.zone)
-        val needs = limitedTeams.associateWith { part.need(it) }.filterValues { it.cores > 0 || it.cards > 0 }
+        if (now - (meanSentMs[partition.zone] ?: Long.MIN_VALUE / 2) < MEAN_EVERY_MS) return null
+        val key = Keys.mean(partition.zone)
+        val needs = limitedTeams.associateWith { partition.need(it) }.filterValues { it.cores > 0 || it.cards > 0 }
         val current = MeanRecord(
-            mean = round(part.mean()),
-            cores = part.totalCores,
-            ordinaryMean = round(part.ordinaryMean()),
-            ordinaryCores = part.ordinaryCores,
+            mean = round(partition.load.mean()),
+            cores = partition.load.totalCores,
+            ordinaryMean = round(partition.load.ordinaryMean()),
+            ordinaryCores = partition.load.ordinaryCores,
             needs = needs,
         )
         val published = replica[key]?.let { decodeRecord(MeanRecord.serializer(), it.value) }
         if (published != null && isClose(published, current)) return null
-        meanSentMs[part.zone] = now
+        meanSentMs[partition.zone] = now
         return PendingWrite(key, encodeRecord(MeanRecord.serializer(), current))
     }
 
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -5,7 +5,7 @@
 import io.otterknot.ownership.Ownership
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Machine
-import io.otterknot.placement.Part
+import io.otterknot.placement.Partition
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.ListedMachine
 import io.otterknot.wire.MachineType
@@ -14,11 +14,11 @@
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
-/** Rents machines for the parts this node owns, and gives back what is idle, broken or never came up. */
+/** Rents machines for the partitions this node owns, and gives back what is idle, broken or never came up. */
 class Fleet(
     private val cloud: CloudClient,
     private val ownership: Ownership,
-    private val parts: Map<String, Part>,
+    private val partitions: Map<String, Partition>,
     private val policy: FleetPolicy,
     private val aims: Aims,
     private val reportMs: Long,
@@ -52,7 +52,7 @@
 
     /**
      * Types that the service has learned before. A controller that starts while the cloud is away would otherwise own
-     * parts and place nothing until it is back.
+     * partitions and place nothing until it is back.
      */
     fun remembered(known: List<MachineType>) {
         if (!heard) take(known)
@@ -80,17 +80,17 @@
             delay(TICK_MS + random.nextLong(200))
             val offered = types ?: continue
             settleOpen()
-            for (zone in parts.keys.toList()) {
-                val part = parts[zone] ?: continue
-                if (ownership.token(zone) != part.token) continue
-                part.machines.forEach { coming.remove(it.id) }
-                release(part.hung(nowMs(), maxOf(HUNG_REPORTS * reportMs, HUNG_MS)), "hung")
-                returnUnreachable(part)
-                part.machines.forEach { it.retiring = false }
-                val view = view(part)
-                retire(part, view)
-                returnIdle(part)
-                if (open.none { it.request.zone == zone } && !cutOff(part)) rent(part, view, offered)
+            for (zone in partitions.keys.toList()) {
+                val partition = partitions[zone] ?: continue
+                if (ownership.token(zone) != partition.token) continue
+                partition.machines.forEach { coming.remove(it.id) }
+                release(partition.hung(nowMs(), maxOf(HUNG_REPORTS * reportMs, HUNG_MS)), "hung")
+                returnUnreachable(partition)
+                partition.machines.forEach { it.retiring = false }
+                val view = view(partition)
+                retire(partition, view)
+                returnIdle(partition)
+                if (open.none { it.request.zone == zone } && !cutOff(partition)) rent(partition, view, offered)
             }
         }
     }
@@ -106,13 +106,13 @@
         }
     }
 
-    private suspend fun rent(part: Part, view: FleetView, offered: List<MachineType>) {
-        val zone = part.zone
+    private suspend fun rent(partition: Partition, view: FleetView, offered: List<MachineType>) {
+        val zone = partition.zone
         val now = nowMs()
         val rents = policy.rent(view, offered, zone) { (closedUntil[zone to it] ?: 0L) > now }
         for (rent in rents) {
             // The token makes the name new for every owner, the counter for every request of one owner.
-            val name = "$zone-${part.token}-${++counter}"
+            val name = "$zone-${partition.token}-${++counter}"
             handle(RentRequest(name, rent.kind.type, zone, rent.kind.spot, rent.count.coerceIn(1, 50)))
         }
     }
@@ -150,45 +150,45 @@
         closedUntil[zone to kind] = nowMs() + CLOSED_MS + random.nextLong(CLOSED_MS)
     }
 
-    private fun view(part: Part): FleetView {
+    private fun view(partition: Partition): FleetView {
         var ordinary = 0.0
         var total = 0.0
-        for (machine in part.machines) {
+        for (machine in partition.machines) {
             if (!machine.serving || machine.deaf) continue
             total += machine.type.cores
             if (!machine.spot) ordinary += machine.type.cores
         }
         // Machines that an earlier owner had are heard of only by and by: before that, all would seem to be missing.
-        for (type in part.unheard()) {
+        for (type in partition.unheard()) {
             val cores = type(type)?.cores ?: 0.0
             total += cores
             ordinary += cores
         }
         for (expected in coming.values) {
-            if (expected.zone != part.zone) continue
+            if (expected.zone != partition.zone) continue
             total += expected.cores
             if (!expected.kind.spot) ordinary += expected.cores
         }
-        val bootS = types.orEmpty().filter { part.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
-        val share = part.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
-        val recent = recentDemand.getOrPut(part.zone) { RecentDemand() }
+        val bootS = types.orEmpty().filter { partition.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
+        val share = partition.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
+        val recent = recentDemand.getOrPut(partition.zone) { RecentDemand() }
         recent.share = maxOf(recent.share, share)
         // Only work that cannot wait for a boot has machines kept for it; the rest takes them as it comes.
         fun wanted(window: DemandWindow, of: (JobSpec) -> Boolean): Double {
-            val prompt = part.demand { of(it) && aims.readyShare(it, bootS) > 0 }
-            return window.note(nowMs(), prompt, recent.share) + part.demand(of) - prompt
+            val prompt = partition.load.demand { of(it) && aims.readyShare(it, bootS) > 0 }
+            return window.note(nowMs(), prompt, recent.share) + partition.load.demand(of) - prompt
         }
         return FleetView(wanted(recent.ordinary) { !it.spot }, wanted(recent.total) { true }, ordinary, total)
     }
 
     /**
-     * Spreading work over all machines, as the design does, leaves few of them idle when demand falls. So what a part
-     * can do without is emptied first, the least loaded machine before others, and taken back into use if demand
-     * returns before it is empty.
+     * Spreading work over all machines, as the design does, leaves few of them idle when demand falls. So what a
+     * partition can do without is emptied first, the least loaded machine before others, and taken back into use if
+     * demand returns before it is empty.
      */
-    private fun retire(part: Part, whole: FleetView) {
+    private fun retire(partition: Partition, whole: FleetView) {
         var view = whole
-        val candidates = part.machines.filter { it.usable && nowMs() - it.firstSeenMs > KEEP_MS }
+        val candidates = partition.machines.filter { it.usable && nowMs() - it.firstSeenMs > KEEP_MS }
             .sortedWith(compareBy<Machine> { it.spot }.thenBy { it.bookedShare() })
         var retiring = 0
         for (machine in candidates) {
@@ -199,28 +199,28 @@
         }
         log.debug(
             "{}: demand {} ({} ordinary), supply {} ({} ordinary) on {} machines, {} retiring, cores by phase {}",
-            part.zone,
+            partition.zone,
             whole.totalDemand,
             whole.ordinaryDemand,
             whole.totalSupply,
             whole.ordinarySupply,
-            part.machines.size,
+            partition.machines.size,
             retiring,
-            if (log.isDebugEnabled) part.coresByPhase() else "",
+            if (log.isDebugEnabled) partition.load.coresByPhase() else "",
         )
     }
 
     /** Not all at once: should it be the way there that is broken, others would fare no better. */
-    private suspend fun returnUnreachable(part: Part) {
-        val lost = part.unreachable()
+    private suspend fun returnUnreachable(partition: Partition) {
+        val lost = partition.unreachable()
         val now = nowMs()
-        if (lost.isEmpty() || now - (unreachableMs[part.zone] ?: Long.MIN_VALUE / 2) < leaseMs) return
-        unreachableMs[part.zone] = now
-        release(lost.take(maxOf(1, part.machines.size / 3)), "answers do not reach them")
+        if (lost.isEmpty() || now - (unreachableMs[partition.zone] ?: Long.MIN_VALUE / 2) < leaseMs) return
+        unreachableMs[partition.zone] = now
+        release(lost.take(maxOf(1, partition.machines.size / 3)), "answers do not reach them")
     }
 
-    private suspend fun returnIdle(part: Part) {
-        val out = part.machines.filter {
+    private suspend fun returnIdle(partition: Partition) {
+        val out = partition.machines.filter {
             it.attempts.isEmpty() && !it.silent &&
                 (it.retiring || (it.draining && !it.noticed))
         }
@@ -236,7 +236,7 @@
         for (id in ids.take(100)) {
             coming.remove(id)
             gone.add(id)
-            parts.values.forEach { it.released(id) }
+            partitions.values.forEach { it.released(id) }
         }
     }
 
@@ -244,33 +244,33 @@
     suspend fun inspect() {
         while (true) {
             delay(INSPECT_MS + random.nextLong(1_000))
-            if (parts.isEmpty()) continue
+            if (partitions.isEmpty()) continue
             val listed = cloud.machines() ?: continue
             val now = nowMs()
             val useless = ArrayList<String>()
             val silentZones = listed.filter {
                 it.state == "running" && it.ageS > YOUNG_S
             }.groupBy { it.zone }.filter { (zone, machines) ->
-                machines.size >= FEW && machines.count { heard(it) } * 2 < machines.size && zone in parts
+                machines.size >= FEW && machines.count { heard(it) } * 2 < machines.size && zone in partitions
             }.keys
             for (machine in listed) {
-                val part = parts[machine.zone] ?: continue
-                if (machine.id in gone || ownership.token(machine.zone) != part.token) continue
+                val partition = partitions[machine.zone] ?: continue
+                if (machine.id in gone || ownership.token(machine.zone) != partition.token) continue
                 // When most machines of a zone are silent it is cut off: they come back with it, new ones would not.
                 if (machine.zone in silentZones && machine.state == "running") {
                     firstSilent.remove(machine.id)
                     continue
                 }
-                if (isUseless(machine, part, now)) useless.add(machine.id)
+                if (isUseless(machine, partition, now)) useless.add(machine.id)
             }
             for (machine in listed) expect(machine, now)
             val ids = listed.mapTo(HashSet()) { it.id }
             coming.entries.removeIf { it.key !in ids && now - it.value.sinceMs > VANISHED_MS }
             // A machine that neither reports nor is listed has been taken.
-            for (part in parts.values) {
-                part.machines.filter {
+            for (partition in partitions.values) {
+                partition.machines.filter {
                     it.silent && it.id !in ids && now - it.heardMs > VANISHED_MS
-                }.forEach { part.dismiss(it.id) }
+                }.forEach { partition.dismiss(it.id) }
             }
             release(useless, "failed, silent or never up")
         }
@@ -278,9 +278,9 @@
 
     /** A machine that an earlier owner rented and that is still booting: without it, the same would be rented again. */
     private fun expect(machine: ListedMachine, now: Long) {
-        val part = parts[machine.zone] ?: return
+        val partition = partitions[machine.zone] ?: return
         if (machine.state != "booting" || machine.id in gone || machine.id in coming ||
-            part.machine(machine.id) != null
+            partition.machine(machine.id) != null
         ) {
             return
         }
@@ -289,16 +289,16 @@
         coming[machine.id] = Coming(machine.zone, Kind(machine.type, machine.spot), type.cores, now)
     }
 
-    private fun heard(machine: ListedMachine) = parts[machine.zone]?.machine(machine.id)?.silent == false
+    private fun heard(machine: ListedMachine) = partitions[machine.zone]?.machine(machine.id)?.silent == false
 
-    private fun cutOff(part: Part) =
-        part.machines.size >= FEW && part.machines.count { it.silent } * 2 > part.machines.size
+    private fun cutOff(partition: Partition) =
+        partition.machines.size >= FEW && partition.machines.count { it.silent } * 2 > partition.machines.size
 
     private val firstSilent = HashMap<String, Long>()
 
-    private fun isUseless(machine: ListedMachine, part: Part, now: Long): Boolean {
+    private fun isUseless(machine: ListedMachine, partition: Partition, now: Long): Boolean {
         if (machine.state == "failed") return true
-        val known = part.machine(machine.id)
+        val known = partition.machine(machine.id)
         if (known != null && !known.silent) {
             firstSilent.remove(machine.id)
             return false
--- a/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
+++ b/src/main/kotlin/io/otterknot/fleet/FleetPolicy.kt
@@ -7,7 +7,7 @@
 
 class Rent(val kind: Kind, val count: Int)
 
-/** What a part has and needs, in cores. */
+/** What a partition has and needs, in cores. */
 class FleetView(
     /** Tasks that must not run on spot machines, waiting or active. */
     val ordinaryDemand: Double,
@@ -53,7 +53,7 @@
         return rents
     }
 
-    /** Whether a part can do without a machine of this many cores. */
+    /** Whether a partition can do without a machine of this many cores. */
     fun spares(view: FleetView, spot: Boolean, cores: Double): Boolean {
         if (view.totalSupply - cores < view.totalDemand * (1 + HEADROOM)) return false
         return spot || view.ordinarySupply - cores >= view.ordinaryDemand * (1 + HEADROOM)
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -1,8 +1,8 @@
 package io.otterknot.ownership
 
 import io.otterknot.config.TeamFacts
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartView
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionView
 import io.otterknot.state.AllotmentRecord
 import io.otterknot.state.Amount
 import io.otterknot.state.Keys
@@ -16,15 +16,15 @@
 import kotlin.random.Random
 
 /**
- * Divides each team's limit among the parts. Only the giver lowers its allotment: it stops using what it gives before
- * it asks for the transaction, so at no moment can the parts together use more than the limit.
+ * Divides each team's limit among the partitions. Only the giver lowers its allotment: it stops using what it gives
+ * before it asks for the transaction, so at no moment can the partitions together use more than the limit.
  */
 class Allotments(
     private val txn: OwnerTxn,
     private val replica: Replica,
     private val ownership: Ownership,
-    private val parts: Map<String, Part>,
-    private val views: Map<String, PartView>,
+    private val partitions: Map<String, Partition>,
+    private val views: Map<String, PartitionView>,
     private val limits: WriteLimits,
     private val teams: List<TeamFacts>,
     private val zones: List<String>,
@@ -42,46 +42,46 @@
     fun changed(team: String) {
         if (teams.none { it.name == team }) return
         val record = of(team)
-        for (part in parts.values) {
-            if (part.zone to team !in giving) part.allot(team, record.byZone[part.zone] ?: Amount())
+        for (partition in partitions.values) {
+            if (partition.zone to team !in giving) partition.allot(team, record.byZone[partition.zone] ?: Amount())
         }
     }
 
     suspend fun share() {
         while (true) {
             delay(EVERY_MS + random.nextLong(500))
-            for (part in parts.values.toList()) {
-                for (team in teams) if (team.cpusMax > 0 || team.gpusMax > 0) consider(part, team.name)
+            for (partition in partitions.values.toList()) {
+                for (team in teams) if (team.cpusMax > 0 || team.gpusMax > 0) consider(partition, team.name)
             }
         }
     }
 
-    private suspend fun consider(part: Part, team: String) {
-        if (ownership.token(part.zone) != part.token || !part.settled) return
-        val receiver = views.values.firstOrNull { it.zone != part.zone && team in it.needs } ?: return
+    private suspend fun consider(partition: Partition, team: String) {
+        if (ownership.token(partition.zone) != partition.token || !partition.settled) return
+        val receiver = views.values.firstOrNull { it.zone != partition.zone && team in it.needs } ?: return
         val need = receiver.needs.getValue(team)
         val to = receiver.zone
-        val spare = part.spare(team, to)
+        val spare = partition.spare(team, to)
         val amount = Amount(minOf(spare.cores, need.cores), minOf(spare.cards, need.cards))
         if (amount.cores < LEAST && amount.cards < LEAST) return
-        give(part, team, to, amount)
+        give(partition, team, to, amount)
     }
 
-    private suspend fun give(part: Part, team: String, to: String, amount: Amount) {
+    private suspend fun give(partition: Partition, team: String, to: String, amount: Amount) {
         val key = Keys.allotment(team)
         val entry = replica[key]
         val record = of(team)
-        val mine = record.byZone[part.zone] ?: return
-        val value = encodeRecord(AllotmentRecord.serializer(), record.moved(part.zone, to, amount))
+        val mine = record.byZone[partition.zone] ?: return
+        val value = encodeRecord(AllotmentRecord.serializer(), record.moved(partition.zone, to, amount))
         val change = Change(put = key, value = value)
         if (!limits.fits(change)) return
-        giving.add(part.zone to team)
-        part.allot(team, mine - amount)
+        giving.add(partition.zone to team)
+        partition.allot(team, mine - amount)
         try {
-            val settled = txn.settle(part, entry?.version ?: 0, change)
-            log.info("{} gives {} of {} to {}: {}", part.zone, amount, team, to, settled)
+            val settled = txn.settle(partition, entry?.version ?: 0, change)
+            log.info("{} gives {} of {} to {}: {}", partition.zone, amount, team, to, settled)
         } finally {
-            giving.remove(part.zone to team)
+            giving.remove(partition.zone to team)
             changed(team)
         }
     }
--- a/src/main/kotlin/io/otterknot/ownership/Fence.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Fence.kt
@@ -32,7 +32,7 @@
 
 private const val TAKE_OVER_MARGIN_S = 3.0
 
-/** The order in which nodes take an unowned part: nodes of its zone first, then the others, turned by the zone. */
+/** The order in which nodes take an unowned partition: nodes of its zone first, then the others, turned by the zone. */
 fun claimRank(zone: String, zones: List<String>, self: String, domains: Map<String, String>): Int {
     val home = domains.filterValues { it == zone }.keys.sorted()
     val others = (domains.keys - home.toSet()).sorted()
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -1,8 +1,8 @@
 package io.otterknot.ownership
 
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartJob
-import io.otterknot.placement.PartView
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionJob
+import io.otterknot.placement.PartitionView
 import io.otterknot.state.JobRecord
 import io.otterknot.state.Keys
 import io.otterknot.state.Spans
@@ -16,14 +16,14 @@
 import kotlin.random.Random
 
 /**
- * Moves tasks that wait in a part to one with a lower mean. The owner of the part that gives does it, in a transaction
- * on the job and its part's key; until the outcome is known the tasks belong to nobody's queue.
+ * Moves tasks that wait in a partition to one with a lower mean. The owner of the partition that gives does it, in a
+ * transaction on the job and its partition's key; until the outcome is known the tasks belong to nobody's queue.
  */
 class Handover(
     private val txn: OwnerTxn,
     private val ownership: Ownership,
-    private val parts: Map<String, Part>,
-    private val views: Map<String, PartView>,
+    private val partitions: Map<String, Partition>,
+    private val views: Map<String, PartitionView>,
     private val offers: (zone: String, spec: JobSpec) -> Boolean,
     private val limits: WriteLimits,
     private val nowMs: () -> Long,
@@ -35,44 +35,44 @@
     suspend fun balance() {
         while (true) {
             delay(EVERY_MS + random.nextLong(400))
-            for (part in parts.values.toList()) give(part)
+            for (partition in partitions.values.toList()) give(partition)
         }
     }
 
-    private suspend fun give(part: Part) {
-        if (ownership.token(part.zone) != part.token || !part.settled) return
+    private suspend fun give(partition: Partition) {
+        if (ownership.token(partition.zone) != partition.token || !partition.settled) return
         var moves = 0
-        for (held in part.waitingInOrder(nowMs())) {
+        for (held in partition.waitingInOrder(nowMs())) {
             if (moves >= MOVES) return
             val spec = held.spec
             if (held.over || spec.zone != null || held.pending.isEmpty) continue
             // All of such a job is in one zone: it moves as a whole or not at all.
             if (spec.oneZone && !held.allWaits) continue
-            val cores = if (spec.spot) part.totalCores else part.ordinaryCores
-            val own = if (spec.spot) part.mean() else part.ordinaryMean()
+            val cores = if (spec.spot) partition.load.totalCores else partition.load.ordinaryCores
+            val own = if (spec.spot) partition.load.mean() else partition.load.ordinaryMean()
             val target =
                 views.values.filter {
-                    it.zone != part.zone && offers(it.zone, spec) &&
+                    it.zone != partition.zone && offers(it.zone, spec) &&
                         ownership.ownerOf(it.zone) != null
                 }
                     .minByOrNull { it.meanFor(spec) } ?: return
             val gap = own - target.meanFor(spec)
-            // Nothing waits for long while another part has room, however little the means differ.
+            // Nothing waits for long while another partition has room, however little the means differ.
             val long = wallMs() - held.readyMs > LONG_MS && target.meanFor(spec) < ROOMY
             if (gap < if (long) SMALL_GAP else MIN_GAP) continue
-            // Half of the gap, in cores of the smaller part: both means then meet, and nothing swings back.
+            // Half of the gap, in cores of the smaller partition: both means then meet, and nothing swings back.
             val theirs = if (spec.spot) target.cores else target.ordinaryCores
             val amount = gap / 2 * minOf(maxOf(cores, 1.0), maxOf(theirs, 1.0))
             if (spec.oneZone && !long && held.waitingCores > amount * 2) continue
-            val tasks = part.setAside(held, if (spec.oneZone) Double.MAX_VALUE else maxOf(amount, spec.cores))
+            val tasks = partition.setAside(held, if (spec.oneZone) Double.MAX_VALUE else maxOf(amount, spec.cores))
             if (tasks.isEmpty) continue
             moves++
             target.raise(spec, tasks.cardinality())
-            move(part, held, tasks, target.zone)
+            move(partition, held, tasks, target.zone)
         }
     }
 
-    private suspend fun move(part: Part, held: PartJob, tasks: BitSet, zone: String) {
+    private suspend fun move(partition: Partition, held: PartitionJob, tasks: BitSet, zone: String) {
         val record = held.job.record
         val version = held.job.version
         if (record?.spec == null) return
@@ -82,13 +82,13 @@
         val change = Change(put = key, value = value)
         // What is cut into too many pieces stays where it is: a value that is too large would be refused.
         if (spans.size > MAX_SPANS || !limits.fits(change)) {
-            part.settleHandover(held, tasks)
+            partition.settleHandover(held, tasks)
             return
         }
-        val settled = txn.settle(part, version, change)
+        val settled = txn.settle(partition, version, change)
         if (settled == OwnerTxn.Settled.PART_LOST) return
-        log.debug("{}: {} tasks of {} to {}: {}", part.zone, tasks.cardinality(), held.id, zone, settled)
-        part.settleHandover(held, tasks)
+        log.debug("{}: {} tasks of {} to {}: {}", partition.zone, tasks.cardinality(), held.id, zone, settled)
+        partition.settleHandover(held, tasks)
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/ownership/Strays.kt
+++ b/src/main/kotlin/io/otterknot/ownership/MisdirectedWorkers.kt
@@ -1,12 +1,12 @@
 package io.otterknot.ownership
 
 /**
- * Machines that come here although another node owns their part. A registered one has been with its owner, and leaves
- * it only if it gets no answer there; one that comes back after it was sent to the owner got none even now. An owner
- * that has crashed, or that its workers do not reach, is found out this way long before its lease ends, and before
- * theirs do.
+ * Machines that come here although another node owns their partition. A registered one has been with its owner, and
+ * leaves it only if it gets no answer there; one that comes back after it was sent to the owner got none even now. An
+ * owner that has crashed, or that its workers do not reach, is found out this way long before its lease ends, and
+ * before theirs do.
  */
-class Strays {
+class MisdirectedWorkers {
     private class Seen(val sentMs: Long, val backMs: Long, val left: Boolean)
 
     private val byZone = HashMap<String, HashMap<String, Seen>>()
@@ -28,7 +28,7 @@
     /** How many came back from the owner. */
     fun count(zone: String, now: Long): Int = byZone[zone]?.values?.count { now - it.backMs < FRESH_MS } ?: 0
 
-    /** Somebody else owns the part now. */
+    /** Somebody else owns the partition now. */
     fun forget(zone: String) {
         byZone.remove(zone)
     }
--- a/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -1,6 +1,6 @@
 package io.otterknot.ownership
 
-import io.otterknot.placement.Part
+import io.otterknot.placement.Partition
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
@@ -11,42 +11,43 @@
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 
-/** A change by a part's owner that must be settled before the owner goes on. */
+/** A change by a partition's owner that must be settled before the owner goes on. */
 class OwnerTxn(
     private val client: StateClient,
     private val replica: Replica,
     private val ownership: Ownership,
-    private val parts: Map<String, Part>,
+    private val partitions: Map<String, Partition>,
     private val limits: WriteLimits,
     private val random: Random,
 ) {
     enum class Settled { APPLIED, NOT_APPLIED, PART_LOST }
 
     /**
-     * Sends [change], guarded by its key's [version] and the part's key, until it is applied or surely never will be,
-     * and waits until the replica shows which. A missing answer is settled by the same transaction again: it applies,
-     * or the key has changed, by the first one carried out after all or by another; a late one is then ruled out.
-     * One that is refused for its size is not carried out. If an earlier try of it had no answer, that one may still be,
-     * and nothing else rules it out: the partition is then claimed anew, under a token that its guard does not know.
+     * Sends [change], guarded by its key's [version] and the partition's key, until it is applied or surely never will
+     * be, and waits until the replica shows which. A missing answer is settled by the same transaction again: it
+     * applies, or the key has changed, by the first one carried out after all or by another; a late one is then ruled
+     * out. One that is refused for its size is not carried out. If an earlier try of it had no answer, that one may
+     * still be, and nothing else rules it out: the partition is then claimed anew, under a token that its guard does
+     * not know.
      */
-    suspend fun settle(part: Part, version: Long, change: Change): Settled {
-        val owner = Guard(Keys.part(part.zone), part.token)
+    suspend fun settle(partition: Partition, version: Long, change: Change): Settled {
+        val owner = Guard(Keys.partition(partition.zone), partition.token)
         var unanswered = false
-        while (parts[part.zone] === part) {
+        while (partitions[partition.zone] === partition) {
             client.budget.takeSpare(1, lesser = true)
             when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
-                is TxnOutcome.Applied -> return shown(outcome.revision, part, Settled.APPLIED)
+                is TxnOutcome.Applied -> return shown(outcome.revision, partition, Settled.APPLIED)
 
                 is TxnOutcome.Conflict -> {
-                    if (owner.key in outcome.failed) ownership.superseded(part.zone)
-                    return shown(outcome.revision, part, Settled.NOT_APPLIED)
+                    if (owner.key in outcome.failed) ownership.superseded(partition.zone)
+                    return shown(outcome.revision, partition, Settled.NOT_APPLIED)
                 }
 
                 is TxnOutcome.Refused -> {
                     if (outcome.tooLarge) {
                         limits.refused(listOf(change))
                         if (!unanswered) return Settled.NOT_APPLIED
-                        ownership.superseded(part.zone)
+                        ownership.superseded(partition.zone)
                     }
                     delay(400 + random.nextLong(600))
                 }
@@ -60,9 +61,9 @@
         return Settled.PART_LOST
     }
 
-    /** Waits until the replica shows the outcome, for as long as the part is ours. */
-    private suspend fun shown(revision: Long, part: Part, settled: Settled): Settled {
-        while (parts[part.zone] === part) {
+    /** Waits until the replica shows the outcome, for as long as the partition is ours. */
+    private suspend fun shown(revision: Long, partition: Partition, settled: Settled): Settled {
+        while (partitions[partition.zone] === partition) {
             if (replica.reach(revision, REACH_MS)) return settled
         }
         return Settled.PART_LOST
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -1,7 +1,7 @@
 package io.otterknot.ownership
 
 import io.otterknot.state.Keys
-import io.otterknot.state.PartRecord
+import io.otterknot.state.PartitionRecord
 import io.otterknot.state.RenewOutcome
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
@@ -16,8 +16,8 @@
 import kotlin.random.Random
 
 /**
- * Which parts this node owns. A part's key hangs on this node's lease and was put by a guarded transaction, whose
- * revision is both the key's version and the token shown to workers: it rises with every change of owner.
+ * Which partitions this node owns. A partition's key hangs on this node's lease and was put by a guarded transaction,
+ * whose revision is both the key's version and the token shown to workers: it rises with every change of owner.
  */
 class Ownership(
     private val label: String,
@@ -33,7 +33,9 @@
     /** [overriding]: the owner before may still act, until its fence ends. */
     private val onClaim: (zone: String, token: Long, overriding: Boolean) -> Unit,
     private val onLoss: (zone: String) -> Unit,
-    /** Whether a claimed part could be taken up; without that, its workers would be kept going and told nothing. */
+    /**
+     * Whether a claimed partition could be taken up; without that, its workers would be kept going and told nothing.
+     */
     private val mayClaim: () -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger(Ownership::class.java)
@@ -42,27 +44,32 @@
     private var lease: Long? = null
     private val tokens = HashMap<String, Long>()
     private val unownedSince = HashMap<String, Long>()
-    private val straySince = HashMap<String, Long>()
+    private val misdirectedSince = HashMap<String, Long>()
     private val ownedSinceMs = HashMap<String, Long>()
-    private val strays = Strays()
+    private val misdirected = MisdirectedWorkers()
 
     /**
-     * A machine reports here and is sent to the owner of its part. It has left that owner if it was with it, and then
-     * it shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only looks
-     * for it.
+     * A machine reports here and is sent to the owner of its partition. It has left that owner if it was with it, and
+     * then it shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only
+     * looks for it.
      */
-    fun sentOn(zone: String, machine: String, token: Long) =
-        strays.sent(zone, machine, nowMs(), machine in machines(zone) && token == replica[Keys.part(zone)]?.version)
+    fun sentOn(zone: String, machine: String, token: Long) = misdirected.sent(
+        zone,
+        machine,
+        nowMs(),
+        machine in machines(zone) && token == replica[Keys.partition(zone)]?.version,
+    )
 
     /**
      * Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease
      * runs.
      */
-    fun doubtsOwner(zone: String): Boolean = longOwned(zone, nowMs()) && strays.left(zone, nowMs()) > manyLeft(zone) / 2
+    fun doubtsOwner(zone: String): Boolean =
+        longOwned(zone, nowMs()) && misdirected.left(zone, nowMs()) > manyLeft(zone) / 2
 
     private fun longOwned(zone: String, now: Long) = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
 
-    /** When a part was claimed from this node although it acts for it: its workers do not reach it. */
+    /** When a partition was claimed from this node although it acts for it: its workers do not reach it. */
     private var overriddenMs = Long.MIN_VALUE / 2
 
     /** The token of [zone] if this node may give commands there now. */
@@ -91,14 +98,14 @@
     fun claimed(zone: String): Long? = tokens[zone]
 
     fun ownerOf(zone: String): String? =
-        replica[Keys.part(zone)]?.let { decodeRecord(PartRecord.serializer(), it.value).owner }
+        replica[Keys.partition(zone)]?.let { decodeRecord(PartitionRecord.serializer(), it.value).owner }
 
-    /** Of all parts, how many this node may act for now. */
+    /** Of all partitions, how many this node may act for now. */
     fun ownedShare(): Double = if (fence.holds(nowMs())) tokens.size.toDouble() / zones.size else 0.0
 
-    fun guard(zone: String): Guard? = tokens[zone]?.let { Guard(Keys.part(zone), it) }
+    fun guard(zone: String): Guard? = tokens[zone]?.let { Guard(Keys.partition(zone), it) }
 
-    /** A worker or a failed guard has shown that somebody else owns the part. */
+    /** A worker or a failed guard has shown that somebody else owns the partition. */
     fun superseded(zone: String) {
         if (tokens.remove(zone) != null) {
             log.warn("no longer the owner of {}", zone)
@@ -108,8 +115,8 @@
 
     /**
      * Keeps the lease, and moves the fence only to a moment up to which this node knows everything: to the sending of a
-     * renewal whose parts were then still ours, once the replica holds what the store held after that. Requests may go
-     * round by another controller while the watch stands still, and whoever answers workers without knowing of
+     * renewal whose partitions were then still ours, once the replica holds what the store held after that. Requests
+     * may go round by another controller while the watch stands still, and whoever answers workers without knowing of
      * cancellations that users were told of keeps their tasks alive. See "One owner at a time" in `docs/design.md`.
      */
     suspend fun keepLease() {
@@ -140,7 +147,7 @@
         }
     }
 
-    /** Whether the parts are this node's and its replica is complete, both as of some moment after the call. */
+    /** Whether the partitions are this node's and its replica is complete, both as of some moment after the call. */
     private suspend fun confirmed(): Boolean {
         replica.awaitLoaded()
         val revision = confirm() ?: return false
@@ -158,8 +165,8 @@
     }
 
     /**
-     * The store's revision at a moment when every part was owned under its token; those that are not are let go. Null:
-     * not known.
+     * The store's revision at a moment when every partition was owned under its token; those that are not are let go.
+     * Null: not known.
      */
     private suspend fun confirm(): Long? {
         val asked = tokens.toMap()
@@ -168,7 +175,7 @@
         return when (
             val outcome = client.txn(
                 asked.map { (zone, token) ->
-                    Guard(Keys.part(zone), token)
+                    Guard(Keys.partition(zone), token)
                 },
                 emptyList(),
             )
@@ -177,7 +184,7 @@
 
             is TxnOutcome.Conflict -> {
                 for ((zone, token) in asked) {
-                    if (Keys.part(zone) in outcome.failed &&
+                    if (Keys.partition(zone) in outcome.failed &&
                         tokens[zone] == token
                     ) {
                         superseded(zone)
@@ -191,11 +198,12 @@
     }
 
     /**
-     * The replica shows a change of a part's key, before any later change: what is written from then on is not ours.
+     * The replica shows a change of a partition's key, before any later change: what is written from then on is not
+     * ours.
      */
-    fun partChanged(zone: String, version: Long?) {
-        straySince.remove(zone)
-        strays.forget(zone)
+    fun partitionChanged(zone: String, version: Long?) {
+        misdirectedSince.remove(zone)
+        misdirected.forget(zone)
         ownedSinceMs[zone] = nowMs()
         val own = tokens[zone] ?: return
         if (version == null || version <= own) return
@@ -203,7 +211,9 @@
         superseded(zone)
     }
 
-    /** Gives a part up so that the node that asks for it may claim it; it stops acting for it before anybody can. */
+    /**
+     * Gives a partition up so that the node that asks for it may claim it; it stops acting for it before anybody can.
+     */
     suspend fun yieldTo(zone: String, others: Int) {
         val token = tokens[zone] ?: return
         if (tokens.size < others + TOO_MANY) return
@@ -211,14 +221,14 @@
         tokens.remove(zone)
         onLoss(zone)
         client.budget.take(1)
-        // If this is lost, the key still shows this node's label, and this node claims the part again.
-        client.txn(listOf(Guard(Keys.part(zone), token)), listOf(Change(remove = Keys.part(zone))))
+        // If this is lost, the key still shows this node's label, and this node claims the partition again.
+        client.txn(listOf(Guard(Keys.partition(zone), token)), listOf(Change(remove = Keys.partition(zone))))
         yieldedMs[zone] = nowMs()
     }
 
     private val yieldedMs = HashMap<String, Long>()
 
-    /** A part that this node should rather own than its owner, who has far more to do. */
+    /** A partition that this node should rather own than its owner, who has far more to do. */
     fun wanted(): Pair<String, String>? {
         if (tokens.isNotEmpty() || !fence.holds(nowMs()) || nowMs() - overriddenMs < OVERRIDDEN_MS) return null
         val owners = zones.mapNotNull { zone -> ownerOf(zone)?.let { zone to it } }
@@ -237,7 +247,7 @@
 
     val owned: Int get() = tokens.size
 
-    suspend fun claimParts() {
+    suspend fun claimPartitions() {
         while (true) {
             val held = lease
             if (held != null && replica.loaded && fence.holds(nowMs()) && mayClaim()) {
@@ -248,10 +258,10 @@
     }
 
     private suspend fun considerClaim(zone: String, held: Long) {
-        val entry = replica[Keys.part(zone)]
+        val entry = replica[Keys.partition(zone)]
         val own = tokens[zone]
         if (own != null) {
-            // The replica may lag behind the claim; only a newer key, or none after it, takes the part away.
+            // The replica may lag behind the claim; only a newer key, or none after it, takes the partition away.
             val lost = if (entry != null) entry.version > own else replica.revision >= own
             if (lost) superseded(zone)
             return
@@ -268,14 +278,14 @@
         } else {
             unownedSince.remove(zone)
             // A key with this node's label that this process did not put is a predecessor's: that process is dead.
-            if (decodeRecord(PartRecord.serializer(), entry.value).owner != label) {
+            if (decodeRecord(PartitionRecord.serializer(), entry.value).owner != label) {
                 if (!abandoned(zone, now)) return
                 overriding = true
                 log.info("{} does not answer its workers; taking {} over", ownerOf(zone), zone)
             }
         }
-        val key = Keys.part(zone)
-        val record = encodeRecord(PartRecord.serializer(), PartRecord(label, incarnation))
+        val key = Keys.partition(zone)
+        val record = encodeRecord(PartitionRecord.serializer(), PartitionRecord(label, incarnation))
         client.budget.take(if (overriding) 2 else 1)
         val claim = Change(put = key, value = record, lease = held)
         val outcome = client.txn(
@@ -304,25 +314,25 @@
      * some are on their way still, and late copies of reports come to where the owner was.
      */
     private fun abandoned(zone: String, now: Long): Boolean {
-        val left = longOwned(zone, now) && strays.left(zone, now) >= manyLeft(zone)
-        if (!left && strays.count(zone, now) < minOf(FEW_STRAYS, maxOf(1, machines(zone).size / 2))) {
-            straySince.remove(zone)
+        val left = longOwned(zone, now) && misdirected.left(zone, now) >= manyLeft(zone)
+        if (!left && misdirected.count(zone, now) < minOf(FEW_MISDIRECTED, maxOf(1, machines(zone).size / 2))) {
+            misdirectedSince.remove(zone)
             return false
         }
-        val since = straySince.getOrPut(zone) { now + random.nextLong(STRAY_JITTER_MS) }
-        return now - since >= tokens.size * STRAY_OWNED_MS
+        val since = misdirectedSince.getOrPut(zone) { now + random.nextLong(MISDIRECTED_JITTER_MS) }
+        return now - since >= tokens.size * MISDIRECTED_OWNED_MS
     }
 
     /** That so many have left their owner is not the machines' doing. */
-    private fun manyLeft(zone: String) = manyStrays(machines(zone).size, domains.size)
+    private fun manyLeft(zone: String) = manyMisdirected(machines(zone).size, domains.size)
 
     private companion object {
         const val LONG_OWNED_MS = 20_000L
         const val OVERRIDDEN_MS = 45_000L
-        const val STRAY_JITTER_MS = 200L
-        const val STRAY_OWNED_MS = 300L
+        const val MISDIRECTED_JITTER_MS = 200L
+        const val MISDIRECTED_OWNED_MS = 300L
 
-        /** So many more parts than another node are too many: to hand one over costs its tasks a second or two. */
+        /** So many more partitions than another node are too many: to hand one over costs its tasks a second or two. */
         const val TOO_MANY = 3
         const val YIELD_MS = 4_000L
         const val RENEWALS = 7
@@ -335,11 +345,12 @@
 
 /**
  * How many machines must have left their owner, as one other node sees it, before their number alone speaks against the
- * owner. When it has crashed all of them leave, a like part to each other node; but machines that hang and go on leave
- * it too, and of a large part many may do so at a time: a fixed number would have its parts claimed from a sound owner.
+ * owner. When it has crashed all of them leave, a like share to each other node; but machines that hang and go on leave
+ * it too, and of a large partition many may do so at a time: a fixed number would have its partitions claimed from a
+ * sound owner.
  */
-fun manyStrays(machines: Int, nodes: Int): Int =
-    maxOf(FEW_STRAYS, Math.ceil(machines * STRAY_SHARE / maxOf(1, nodes - 1)).toInt())
+fun manyMisdirected(machines: Int, nodes: Int): Int =
+    maxOf(FEW_MISDIRECTED, Math.ceil(machines * MISDIRECTED_SHARE / maxOf(1, nodes - 1)).toInt())
 
-private const val FEW_STRAYS = 3
-private const val STRAY_SHARE = 0.3
+private const val FEW_MISDIRECTED = 3
+private const val MISDIRECTED_SHARE = 0.3
--- a/src/main/kotlin/io/otterknot/peer/Announcer.kt
+++ b/src/main/kotlin/io/otterknot/peer/Announcer.kt
@@ -1,15 +1,18 @@
 package io.otterknot.peer
 
-import io.otterknot.placement.Part
+import io.otterknot.placement.Partition
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 
-/** Announces this node's parts with idle machines, and withdraws them once none is idle (DESIGN; Saqr, section 3.2). */
+/**
+ * Announces this node's partitions with idle machines, and withdraws them once none is idle (DESIGN; Saqr, section
+ * 3.2).
+ */
 class Announcer(
     private val label: String,
-    private val own: IdleParts,
+    private val own: IdlePartitions,
     private val peers: Map<String, PeerTransport>,
-    private val parts: Map<String, Part>,
+    private val partitions: Map<String, Partition>,
     private val nowMs: () -> Long,
     private val random: Random,
 ) {
@@ -21,28 +24,28 @@
         while (true) {
             delay(EVERY_MS + random.nextLong(200))
             own.expire(nowMs())
-            for (zone in announced.keys - parts.keys) announced.remove(zone)
-            for (part in parts.values.toList()) consider(part)
+            for (zone in announced.keys - partitions.keys) announced.remove(zone)
+            for (partition in partitions.values.toList()) consider(partition)
         }
     }
 
-    private suspend fun consider(part: Part) {
-        val idle = part.machines.count { it.idle && it.usable }
+    private suspend fun consider(partition: Partition) {
+        val idle = partition.machines.count { it.idle && it.usable }
         val now = nowMs()
-        val known = announced[part.zone]?.takeIf { it.token == part.token }
+        val known = announced[partition.zone]?.takeIf { it.token == partition.token }
         if (idle == 0) {
             if (known != null &&
-                tell(known.to, PeerMessage.Withdraw(part.zone, part.token)) != null
+                tell(known.to, PeerMessage.Withdraw(partition.zone, partition.token)) != null
             ) {
-                announced.remove(part.zone)
+                announced.remove(partition.zone)
             }
             return
         }
         if (known != null) {
-            // Telling the number as it falls keeps a burst from flooding the part until it is withdrawn.
+            // Telling the number as it falls keeps a burst from flooding the partition until it is withdrawn.
             if (known.idle == idle && now - known.atMs < RENEW_MS) return
-            if (tell(known.to, PeerMessage.Announce(part.zone, part.token, idle)) == null) {
-                announced.remove(part.zone)
+            if (tell(known.to, PeerMessage.Announce(partition.zone, partition.token, idle)) == null) {
+                announced.remove(partition.zone)
             } else {
                 known.idle = idle
                 known.atMs = now
@@ -50,14 +53,14 @@
             return
         }
         val listener = chooseListener(peers.keys.toList() + label, random) { tell(it, PeerMessage.Ask) } ?: return
-        if (tell(listener, PeerMessage.Announce(part.zone, part.token, idle)) != null) {
-            announced[part.zone] = Announced(listener, part.token, idle, now)
+        if (tell(listener, PeerMessage.Announce(partition.zone, partition.token, idle)) != null) {
+            announced[partition.zone] = Announced(listener, partition.token, idle, now)
         }
     }
 
     private suspend fun tell(node: String, message: PeerMessage): Int? {
         val answer = if (node == label) own.take(message, nowMs()) else peers[node]?.ask(message, PEER_ANSWER_MS)
-        return (answer as? PeerMessage.Known)?.parts
+        return (answer as? PeerMessage.Known)?.partitions
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/peer/IdleParts.kt
+++ b/src/main/kotlin/io/otterknot/peer/IdlePartitions.kt
@@ -1,10 +1,10 @@
 package io.otterknot.peer
 
-import io.otterknot.placement.PartView
+import io.otterknot.placement.PartitionView
 import kotlin.random.Random
 
-/** The parts with idle machines that this node has been told of. */
-class IdleParts(private val views: Map<String, PartView>, private val sound: () -> Boolean) {
+/** The partitions with idle machines that this node has been told of. */
+class IdlePartitions(private val views: Map<String, PartitionView>, private val sound: () -> Boolean) {
     private class Told(val token: Long, val untilMs: Long)
 
     private val told = HashMap<String, Told>()
@@ -45,7 +45,7 @@
     }
 }
 
-/** To whom a part is announced: of two random controllers the one that knows fewer idle parts. */
+/** To whom a partition is announced: of two random controllers the one that knows fewer idle partitions. */
 suspend fun chooseListener(nodes: List<String>, random: Random, known: suspend (String) -> Int?): String? {
     val two = nodes.shuffled(random).take(2)
     return two.mapNotNull { node -> known(node)?.let { node to it } }.minByOrNull { it.second }?.first
--- a/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessages.kt
@@ -5,19 +5,19 @@
 
 /** What controllers tell each other. Each is answered with [Known], or a [Carry] with [Carried]. */
 sealed interface PeerMessage {
-    /** How many parts with idle machines do you know? */
+    /** How many partitions with idle machines do you know? */
     data object Ask : PeerMessage
 
-    /** The part of [zone], owned under [token], has so many idle machines. */
+    /** The partition of [zone], owned under [token], has so many idle machines. */
     data class Announce(val zone: String, val token: Long, val idle: Int) : PeerMessage
 
-    /** The part has no idle machine any more. */
+    /** The partition has no idle machine any more. */
     data class Withdraw(val zone: String, val token: Long) : PeerMessage
 
     /** [sound]: the state service answers this node. */
-    data class Known(val parts: Int, val sound: Boolean) : PeerMessage
+    data class Known(val partitions: Int, val sound: Boolean) : PeerMessage
 
-    /** Let me own the part of [zone], since I own [owned] parts only. */
+    /** Let me own the partition of [zone], since I own [owned] partitions only. */
     data class Yield(val zone: String, val owned: Int) : PeerMessage
 
     /** Ask the state service this for me. */
@@ -45,7 +45,9 @@
 
             is PeerMessage.Withdraw -> body.writeByte(3).writeName(message.zone).writeLong(message.token)
 
-            is PeerMessage.Known -> body.writeByte(4).writeInt(message.parts).writeByte(if (message.sound) 1 else 0)
+            is PeerMessage.Known -> body.writeByte(
+                4,
+            ).writeInt(message.partitions).writeByte(if (message.sound) 1 else 0)
 
             is PeerMessage.Carry -> {
                 body.writeByte(5).writeName(message.method).writeName(message.target).writeInt(message.timeoutMs)
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -16,12 +16,12 @@
 class Aims(private val byKind: Map<String, List<Aim>>) {
 
     /** How many of its aims a job has missed at [wallMs], as it still waits. */
-    fun missed(job: PartJob, wallMs: Long): Int = latestStarts(job).count { wallMs > it }
+    fun missed(job: PartitionJob, wallMs: Long): Int = latestStarts(job).count { wallMs > it }
 
     /**
      * How long until a job, as it still waits at [wallMs], misses its next aim; null: it has missed all that it had.
      */
-    fun slackS(job: PartJob, wallMs: Long): Double? {
+    fun slackS(job: PartitionJob, wallMs: Long): Double? {
         val latest = latestStarts(job)
         if (latest.isEmpty()) return Double.MAX_VALUE
         return latest.filter { it >= wallMs }.minOrNull()?.let { (it - wallMs) / 1000.0 }
@@ -31,7 +31,7 @@
      * When, by the time of day, waiting tasks of a job must begin for each of its aims to be met, and for those of jobs
      * that need it.
      */
-    private fun latestStarts(job: PartJob): List<Double> {
+    private fun latestStarts(job: PartitionJob): List<Double> {
         val likely = job.spec.estimateS * LIKELY
         val own = byKind[job.spec.kind].orEmpty().map { aim ->
             when (aim) {
@@ -43,13 +43,13 @@
                     ?: Double.MAX_VALUE
             }
         }
-        val lent = job.lentDueMs ?: return own
+        val lent = job.inheritedDueMs ?: return own
         return own + (lent - likely * 1000)
     }
 
     /**
      * How long a waiting task lets lesser work finish by itself, held room filling up meanwhile, before it has some
-     * stopped: a part of the tightest wait asked for, since what is stopped has run for nothing.
+     * stopped: a share of the tightest wait asked for, since what is stopped has run for nothing.
      */
     fun patienceMs(spec: JobSpec): Long {
         val tightest =
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -8,7 +8,14 @@
 enum class Phase { BOOKED, SENT, FETCHING, RUNNING, SAVING, EXITED }
 
 /** One try at a task on one machine. */
-class Attempt(val job: PartJob, val task: Int, val id: Long, val machine: Machine, var phase: Phase, var since: Long) {
+class Attempt(
+    val job: PartitionJob,
+    val task: Int,
+    val id: Long,
+    val machine: Machine,
+    var phase: Phase,
+    var since: Long,
+) {
     /** Told to stop, or to be told with the next answer. */
     var halting = false
         private set
@@ -62,12 +69,12 @@
     }
 }
 
-/** A machine in this part and the ledger of what is booked on it: reported, or sent and not yet reported. */
+/** A machine in this partition and the ledger of what is booked on it: reported, or sent and not yet reported. */
 class Machine(val id: String, val type: MachineType, val spot: Boolean) : Place() {
     var session = 0L
     var seq = -1L
 
-    /** Its last report showed this part's token, so no older owner's command can reach it any more. */
+    /** Its last report showed this partition's token, so no older owner's command can reach it any more. */
     var reconciled = false
     var registered = false
     var draining = false
@@ -87,6 +94,11 @@
 
     /** Jobs whose tasks failed here and are not tried here again before the time given. */
     val failedJobs = HashMap<String, Long>()
+
+    /** For a while no further task of [job] goes here: not for ever, as this may be the only machine that it fits. */
+    fun avoid(job: PartitionJob, now: Long) {
+        failedJobs[job.id] = now + AVOID_MS
+    }
     var failures = 0
     val slowness = Slowness()
 
@@ -131,7 +143,7 @@
 
     fun held(priority: Priority): Amounts = held[priority.ordinal]
 
-    /** Part of what this part has to work with, whether or not it may get a task already. */
+    /** Partition of what this partition has to work with, whether or not it may get a task already. */
     val serving: Boolean get() = !draining && !silent && !retiring
     val usable: Boolean get() = reconciled && registered && serving && !deaf && !strange
 
@@ -189,9 +201,10 @@
     fun share(spec: JobSpec): Double =
         maxOf(ratio(spec.cores, type.cores), ratio(spec.memoryGb, type.memoryGb), ratio(spec.cards, type.cards))
 
-    private fun ratio(part: Double, whole: Double) = if (whole > 0) part / whole else 0.0
+    private fun ratio(partition: Double, whole: Double) = if (whole > 0) partition / whole else 0.0
 
     companion object {
+        const val AVOID_MS = 15_000L
         const val EPS = 1e-6
         private const val DEAF = 2
     }
--- a/src/main/kotlin/io/otterknot/placement/Part.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -10,7 +10,6 @@
 import io.otterknot.wire.TaskName
 import io.otterknot.wire.TaskReport
 import io.otterknot.wire.TaskState
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
 import org.slf4j.LoggerFactory
 import java.util.BitSet
 import kotlin.random.Random
@@ -19,17 +18,17 @@
 sealed interface ReportDecision {
     data class Answer(val token: Long, val commands: List<Command>) : ReportDecision
 
-    /** The worker has seen a higher token: this owner is no longer entitled to its part. */
+    /** The worker has seen a higher token: this owner is no longer entitled to its partition. */
     data object Superseded : ReportDecision
 
     /** An older report than one seen already. */
     data object Stale : ReportDecision
 }
 
-/** What a part needs to know of a team: what it may use here, and its share of a contended part. */
+/** What a partition needs to know of a team: what it may use here, and its share of a contended partition. */
 class TeamShare(val name: String, val weight: Double, var allotment: Amount)
 
-class PartTimes(val leaseMs: Long, val marginMs: Long = 700, val answerMs: Long = 4_000) {
+class PartitionTimings(val leaseMs: Long, val marginMs: Long = 700, val answerMs: Long = 4_000) {
     /** A machine's lease, on any clock that keeps to the protocol's drift, has ended after this long. */
     val surelyOverMs: Long get() = leaseMs + leaseMs / 500 + marginMs
 
@@ -43,51 +42,49 @@
  *
  * Safety rests on three things here. A command goes out only in the answer to a report, a worker has one report in
  * flight and drops late answers, so its next report says what came of the commands. A machine counts as known only
- * once a report shows [token]. And a task that an earlier owner may have started is [PartJob.doubtful] until every
+ * once a report shows [token]. And a task that an earlier owner may have started is [PartitionJob.doubtful] until every
  * machine that could hold it is known, gone, or past its lease.
  */
-class Part(
+class Partition(
     val zone: String,
     val token: Long,
     private val claimedMs: Long,
     /** Until when an earlier owner may have given answers to the machines. */
     val othersUntilMs: Long,
-    private val times: PartTimes,
+    private val times: PartitionTimings,
     random: Random,
     aims: Aims,
     private val wallOf: (Long) -> Long,
     private val typeOf: (String) -> MachineType?,
-    private val teams: List<TeamShare>,
-    /** Machines that the part's owners have registered, with their types. */
+    teamShares: List<TeamShare>,
+    /** Machines that the partition's owners have registered, with their types. */
     registeredMachines: Map<String, String>,
 ) {
-    private val log = LoggerFactory.getLogger(Part::class.java)
+    private val log = LoggerFactory.getLogger(Partition::class.java)
     private val machineByName = Dense<Machine> { it.id }
     private val machineList get() = machineByName.all
-    private val jobByName = Dense<PartJob> { it.id }
+    private val jobByName = Dense<PartitionJob> { it.id }
     private val jobList get() = jobByName.all
-    private val teamSlots = Object2IntOpenHashMap<String>().apply {
-        defaultReturnValue(-1)
-        teams.forEachIndexed { index, team -> put(team.name, index) }
-    }
-    private val teamCores = DoubleArray(teams.size)
-    private val teamCards = DoubleArray(teams.size)
     private var attempts = 0L
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
-    private val suspects = Suspects(registeredMachines, typeOf)
+    private val unreconciled = UnreconciledMachines(registeredMachines, typeOf)
     private val registered = HashSet(registeredMachines.keys)
 
     /**
      * Machines that show a task which is not booked here: of a job that is over, or one that is no longer ours. It is
      * told to stop, and until it is gone nobody knows what it takes, of the machine and of its team's limit.
      */
-    private val strangers = Suspects(emptyMap(), typeOf)
+    private val withUnknownTasks = UnreconciledMachines(emptyMap(), typeOf)
+    private val teams = TeamLedger(teamShares, ::unknownAmount)
+
+    /** What the machines and jobs of this partition add up to. */
+    val load = PartitionLoad({ machineList }, { jobList }, teams)
 
     /**
      * Machines whose lease ended with tasks of jobs that are over on them: hung, they may hold them still, and go back.
      */
-    private val unstopped = HashSet<String>()
+    private val hungWithEndedJobs = HashSet<String>()
 
     /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
     private val lastSeen = LastSeen()
@@ -97,12 +94,12 @@
     private val ledger = object : Ledger {
         override val machines get() = machineList
         override val jobs get() = jobList
-        override fun startable(job: PartJob) = this@Part.startable(job)
-        override fun pressure(team: Int) = if (team < 0) 0.0 else teamCores[team] / teams[team].weight
-        override fun book(job: PartJob, machine: Machine, now: Long): Attempt {
+        override fun startable(job: PartitionJob) = this@Partition.startable(job)
+        override fun pressure(team: Int) = teams.pressure(team)
+        override fun book(job: PartitionJob, machine: Machine, now: Long): Attempt {
             val task = job.pending.nextSetBit(0)
             job.pending.clear(task)
-            return this@Part.book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
+            return this@Partition.book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
         }
 
         override fun stop(attempt: Attempt) {
@@ -115,17 +112,18 @@
         }
     }
     private val scheduler = Scheduler(ledger, aims, wallOf, random)
+    private val slowTasks = SlowTaskDetector(zone)
 
     val machines: List<Machine> get() = machineList
-    val jobs: List<PartJob> get() = jobList
+    val jobs: List<PartitionJob> get() = jobList
 
     fun machine(id: String): Machine? = machineByName[id]
 
-    fun job(id: String): PartJob? = jobByName[id]
+    fun job(id: String): PartitionJob? = jobByName[id]
 
     // ---- jobs -------------------------------------------------------------------------------------------------
 
-    /** Takes what the replica now says of [job]. [inherited]: this part was claimed after it was written. */
+    /** Takes what the replica now says of [job]. [inherited]: this partition was claimed after it was written. */
     fun updateJob(job: Job, inherited: Boolean) {
         val record = job.record ?: return
         val spec = record.spec
@@ -138,19 +136,19 @@
         var held = job(job.id)
         if (held == null) {
             if (record.spans.none { it.zone == zone }) return
-            held = PartJob(job, spec, teamSlots.getInt(spec.team))
+            held = PartitionJob(job, spec, teams.index(spec.team))
             jobByName.add(held)
         }
-        if (held.takeLent()) scheduler.invalidate()
-        val mine = BitSet()
-        record.spans.forEach { if (it.zone == zone) mine.set(it.from, it.until) }
-        val came = (mine.clone() as BitSet).apply {
-            andNot(held.mine)
+        if (held.takeInherited()) scheduler.invalidate()
+        val owned = BitSet()
+        record.spans.forEach { if (it.zone == zone) owned.set(it.from, it.until) }
+        val came = (owned.clone() as BitSet).apply {
+            andNot(held.owned)
             andNot(job.done)
         }
-        val left = (held.mine.clone() as BitSet).apply { andNot(mine) }
-        held.mine.clear()
-        held.mine.or(mine)
+        val left = (held.owned.clone() as BitSet).apply { andNot(owned) }
+        held.owned.clear()
+        held.owned.or(owned)
         if (inherited && !settled) held.doubtful.or(came) else held.pending.or(came)
         held.pending.andNot(left)
         held.doubtful.andNot(left)
@@ -158,8 +156,8 @@
         if (!came.isEmpty) scheduler.invalidate()
     }
 
-    /** Sets tasks of [held] that wait aside for another part, up to so many [cores]; the last ones first. */
-    fun setAside(held: PartJob, cores: Double): BitSet {
+    /** Sets tasks of [held] that wait aside for another partition, up to so many [cores]; the last ones first. */
+    fun setAside(held: PartitionJob, cores: Double): BitSet {
         var left = if (held.spec.cores >
             0
         ) {
@@ -179,10 +177,10 @@
         return chosen
     }
 
-    /** The handover of [tasks] is settled: what still belongs to this part waits here again. */
-    fun settleHandover(held: PartJob, tasks: BitSet) {
+    /** The handover of [tasks] is settled: what still belongs to this partition waits here again. */
+    fun settleHandover(held: PartitionJob, tasks: BitSet) {
         val kept = (tasks.clone() as BitSet).apply {
-            and(held.mine)
+            and(held.owned)
             and(held.leaving)
         }
         held.leaving.andNot(tasks)
@@ -194,12 +192,12 @@
     /** Completions became durable. */
     fun updateDone(job: Job) {
         val held = job(job.id) ?: return
-        held.fresh.andNot(job.done)
+        held.unrecorded.andNot(job.done)
         held.pending.andNot(job.done)
         held.doubtful.andNot(job.done)
     }
 
-    private fun drop(held: PartJob) {
+    private fun drop(held: PartitionJob) {
         held.over = true
         held.pending.clear()
         held.doubtful.clear()
@@ -235,7 +233,13 @@
     fun unregistered(): List<Machine> = machineList.filter { it.reconciled && !it.registered && !it.silent }
 
     /** The types of machines that an earlier owner had registered and that have not been heard of yet. */
-    fun unheard(): List<String> = if (settled) emptyList() else suspects.filter { machine(it) == null }.values.toList()
+    fun unheard(): List<String> = if (settled) {
+        emptyList()
+    } else {
+        unreconciled.filter {
+            machine(it) == null
+        }.values.toList()
+    }
 
     /** The cloud says that the machine and everything on it is gone. */
     fun released(id: String) {
@@ -250,9 +254,9 @@
 
     /** A machine that the cloud lists no more, long after its lease: should it come back after all, it starts anew. */
     fun dismiss(id: String) {
-        suspects.remove(id)
-        strangers.remove(id)
-        unstopped.remove(id)
+        unreconciled.remove(id)
+        withUnknownTasks.remove(id)
+        hungWithEndedJobs.remove(id)
         val machine = machine(id) ?: return
         forgetAll(machine)
         lastSeen.note(id, machine.session, machine.seq)
@@ -263,7 +267,7 @@
      * Machines that have stopped reporting while most others go on, and that hold tasks or doubts up: a hung machine
      * is given back, since the cloud's answer settles sooner than its lease what became of its tasks.
      */
-    fun hung(now: Long, afterMs: Long): List<String> = (unstopped + quiet(now, afterMs)).toList()
+    fun hung(now: Long, afterMs: Long): List<String> = (hungWithEndedJobs + quiet(now, afterMs)).toList()
 
     private fun quiet(now: Long, afterMs: Long): List<String> {
         val talking = machineList.filter { !it.silent }
@@ -271,17 +275,17 @@
         if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
         val lively = talking.count { now - it.heardMs < afterMs / 2 }
         if (lively * 2 < talking.size) return emptyList()
-        return quiet.filter { it.attempts.isNotEmpty() || it.id in suspects }.map { it.id } +
+        return quiet.filter { it.attempts.isNotEmpty() || it.id in unreconciled }.map { it.id } +
             neverHeard(now, afterMs, talking.size)
     }
 
     /**
-     * Machines that have not reported since the claim while most have. In a large part one or two are dead at any time,
-     * and they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
+     * Machines that have not reported since the claim while most have. In a large partition one or two are dead at any
+     * time, and they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
      */
     private fun neverHeard(now: Long, afterMs: Long, talking: Int): Collection<String> {
-        if (settled || suspects.size * 3 > talking) return emptyList()
-        val missing = suspects.filter { machine(it) == null }.keys
+        if (settled || unreconciled.size * 3 > talking) return emptyList()
+        val missing = unreconciled.filter { machine(it) == null }.keys
         val waitMs = if (missing.size * FEW_MISSING <= talking) afterMs * 2 / 3 else afterMs
         return if (now - claimedMs < waitMs) emptyList() else missing
     }
@@ -315,12 +319,16 @@
                 )
                 machine.silent = true
                 machine.idle = false
-                if (machine.attempts.values.any { it.job.over } || machine.id in strangers) unstopped.add(machine.id)
-                strangers.remove(machine.id)
+                if (machine.attempts.values.any { it.job.over } ||
+                    machine.id in withUnknownTasks
+                ) {
+                    hungWithEndedJobs.add(machine.id)
+                }
+                withUnknownTasks.remove(machine.id)
                 forgetAll(machine)
             }
             if (slow) machine.lostAnswers = 0
-            if (!machine.silent) stopStragglers(machine, now)
+            if (!machine.silent) slowTasks.stopStragglers(machine, now)
         }
         settle(now)
         scheduler.placeAll(now)
@@ -330,11 +338,11 @@
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
         // then falls silent, its lease ends that much later than those of machines never heard of.
-        suspects.removeIf { id ->
+        unreconciled.removeIf { id ->
             now - maxOf(othersUntilMs, machine(id)?.leaseFromMs ?: othersUntilMs) >
                 times.surelyOverMs
         }
-        if (!suspects.empty) return
+        if (!unreconciled.empty) return
         settled = true
         var count = 0
         for (job in jobList) {
@@ -373,7 +381,7 @@
         machine.seq = report.seq
         machine.heardMs = now
         machine.silent = false
-        unstopped.remove(machine.id)
+        hungWithEndedJobs.remove(machine.id)
         if (report.token < token) {
             unknowing(machine, known != null, now)
             return ReportDecision.Answer(token, emptyList())
@@ -389,10 +397,10 @@
         for (entry in report.tasks) reconcile(machine, entry, report.seq, now, commands)
         compareSent(machine)
         val strange = report.tasks.any { it.state != TaskState.EXITED && !machine.attempts.containsKey(it.attempt) }
-        if (strange) strangers.add(machine.id, machine.type.name) else strangers.remove(machine.id)
+        if (strange) withUnknownTasks.add(machine.id, machine.type.name) else withUnknownTasks.remove(machine.id)
         machine.strange = strange
         report.noticeS?.let { leave(machine, it, now) }
-        if (suspects.remove(machine.id)) settle(now)
+        if (unreconciled.remove(machine.id)) settle(now)
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.usable)
         if (machine.deaf) probe(machine, now) else scheduler.placeOn(machine, now)
         addCommands(machine, now, commands)
@@ -403,7 +411,7 @@
      * A report that does not show this token yet: an earlier owner's answer could still reach the machine. An answer
      * of ours may prolong the lease of what it holds from that owner, so the doubt is counted from this report; but no
      * answer to a report that came long after the claim can, since that lease has ended and a worker drops late
-     * answers. Without this end, a machine that no answer reaches would keep a part in doubt for ever.
+     * answers. Without this end, a machine that no answer reaches would keep a partition in doubt for ever.
      */
     private fun unknowing(machine: Machine, again: Boolean, now: Long) {
         machine.reconciled = false
@@ -412,7 +420,7 @@
             times.tooLateMs
         ) {
             machine.leaseFromMs = now
-        } else if (suspects.remove(machine.id)) {
+        } else if (unreconciled.remove(machine.id)) {
             settle(now)
         }
     }
@@ -518,7 +526,7 @@
 
     private fun exited(
         machine: Machine,
-        held: PartJob,
+        held: PartitionJob,
         task: Int,
         entry: TaskReport,
         known: Attempt?,
@@ -529,21 +537,21 @@
             // `forget` only once the completion is durable: until then this report is the only trace of it.
             if (held.job.done.get(task)) {
                 commands.add(Command.forget(entry.task, entry.attempt))
-            } else if (held.mine.get(task)) {
-                held.fresh.set(task)
+            } else if (held.owned.get(task)) {
+                held.unrecorded.set(task)
                 held.pending.clear(task)
                 held.doubtful.clear(task)
             }
             machine.failedJobs.clear()
             machine.failures = 0
-            if (known != null) ranThrough(machine, known, now)
+            if (known != null) slowTasks.completed(machine, known, now)
             return
         }
         commands.add(Command.forget(entry.task, entry.attempt))
         if (entry.cause == ExitCause.ERROR && known != null) {
             held.failures++
             // Not for ever: this may be the only machine that the job is allowed on, and sound after all.
-            held.avoid(machine, now)
+            machine.avoid(held, now)
             machine.failures++
             // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a
             // job that fails everywhere says nothing of machines, but must not keep them all busy.
@@ -564,53 +572,10 @@
         }
     }
 
-    private fun ranThrough(machine: Machine, attempt: Attempt, now: Long) {
-        if (!attempt.ran) return
-        val ms = now - attempt.since
-        val ratio = attempt.job.runs.ratio(ms)
-        attempt.job.runs.add(ms)
-        if (ratio != null) tooSlow(machine, ratio)
-    }
-
-    private fun tooSlow(machine: Machine, ratio: Double) {
-        machine.slowness.add(ratio)
-        if (!machine.slowness.slow || machine.draining) return
-        log.info(
-            "{}: {} takes {} times as long as others for its tasks; it is emptied and returned",
-            zone,
-            machine.id,
-            machine.slowness,
-        )
-        machine.draining = true
-    }
-
-    /**
-     * A task that runs far longer than its like is stopped and tried elsewhere, where its machine is known to be slow;
-     * otherwise once at most, since it may be the task that is long.
-     */
-    private fun stopStragglers(machine: Machine, now: Long) {
-        for (attempt in machine.attempts.values) {
-            if (attempt.phase != Phase.RUNNING || attempt.halting || !attempt.ran) continue
-            val held = attempt.job
-            val ratio = held.runs.ratio(now - attempt.since) ?: continue
-            val limit = if (machine.slowness.slow) SLOW_RATIO else LONE_RATIO
-            if (ratio < limit || now - attempt.since < STRAGGLER_MS || held.restarted.get(attempt.task)) continue
-            held.restarted.set(attempt.task)
-            held.avoid(machine, now)
-            log.debug("{}: {} on {} runs {} times as long as others", zone, attempt.name, machine.id, ratio)
-            attempt.halt()
-            tooSlow(machine, ratio)
-        }
-    }
-
-    private fun PartJob.avoid(machine: Machine, now: Long) {
-        machine.failedJobs[id] = now + AVOID_MS
-    }
-
     /** A machine shows a task that an earlier owner started. */
-    private fun adopt(machine: Machine, held: PartJob, task: Int, entry: TaskReport, now: Long): Attempt? {
-        // A report that was held back may show a task that has long been given up here and is leaving for another part:
-        // taken back, it would start in both.
+    private fun adopt(machine: Machine, held: PartitionJob, task: Int, entry: TaskReport, now: Long): Attempt? {
+        // A report that was held back may show a task that has long been given up here and is leaving for another
+        // partition: taken back, it would start in both.
         if (!held.unheld(task)) {
             log.warn(
                 "{}: {} shows {} (attempt {}), which it should not hold",
@@ -626,15 +591,12 @@
         return book(machine, held, task, entry.attempt, Phase.SENT, now)
     }
 
-    private fun book(machine: Machine, held: PartJob, task: Int, id: Long, phase: Phase, now: Long): Attempt {
+    private fun book(machine: Machine, held: PartitionJob, task: Int, id: Long, phase: Phase, now: Long): Attempt {
         val attempt = Attempt(held, task, id, machine, phase, now)
         machine.attempts.put(id, attempt)
         machine.book(held.spec)
         held.active.put(task, attempt)
-        if (held.team >= 0) {
-            teamCores[held.team] += held.spec.cores
-            teamCards[held.team] += held.spec.cards
-        }
+        teams.book(held.team, held.spec)
         return attempt
     }
 
@@ -648,10 +610,7 @@
         machine.unbook(held.spec)
         if (attempt.halting) machine.freeing.add(held.spec, -1)
         if (held.active.get(attempt.task) === attempt) held.active.remove(attempt.task)
-        if (held.team >= 0) {
-            teamCores[held.team] -= held.spec.cores
-            teamCards[held.team] -= held.spec.cards
-        }
+        teams.unbook(held.team, held.spec)
     }
 
     private fun requeue(attempt: Attempt) {
@@ -664,112 +623,43 @@
     // ---- placement --------------------------------------------------------------------------------------------
 
     /** Jobs of which tasks wait, the most urgent first. */
-    fun waitingInOrder(now: Long): List<PartJob> = scheduler.order.sorted(jobList, now)
+    fun waitingInOrder(now: Long): List<PartitionJob> = scheduler.order.sorted(jobList, now)
 
-    private fun startable(job: PartJob): Int {
+    private fun startable(job: PartitionJob): Int {
         if (job.team < 0) return 0
         val spec = job.spec
         var count = job.waiting
-        // Active tasks of this part are all that can be in its zone, so half of the job's tasks may be active here.
+        // Active tasks of this partition are all that can be in its zone, so half of the job's tasks may be active
+        // here.
         if (spec.spread) count = minOf(count, spec.perZoneLimit - job.active.size - job.doubtful.cardinality())
-        val left = leftover(job.team)
-        if (spec.cores > 0) count = minOf(count.toDouble(), (left.cores + Machine.EPS) / spec.cores).toInt()
-        if (spec.cards > 0) count = minOf(count.toDouble(), (left.cards + Machine.EPS) / spec.cards).toInt()
-        return maxOf(0, count)
-    }
-
-    /**
-     * What a team may still use here. A machine that is not known yet, or that shows a task not booked here, may be
-     * full of its tasks, also of jobs that are over: until it is known what is there, all of that machine counts as
-     * used.
-     */
-    private fun leftover(team: Int): Amount {
-        val left = teams[team].allotment - Amount(teamCores[team], teamCards[team])
-        return left - (suspects.amount() ?: return Amount()) - (strangers.amount() ?: return Amount())
+        return teams.startable(job.team, spec, count)
     }
 
-    private fun Amount.covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.cards <= cards + Machine.EPS
-
     fun allot(name: String, allotment: Amount) {
-        val team = teamSlots.getInt(name)
-        if (team < 0) return
-        teams[team].allotment = allotment
-        scheduler.invalidate()
+        if (teams.allot(name, allotment)) scheduler.invalidate()
     }
 
     /** What the waiting tasks of a team need here beyond the allotment; nothing while it lets one of each start. */
-    fun need(name: String): Amount {
-        val team = teamSlots.getInt(name)
-        if (team < 0) return Amount()
-        val left = leftover(team)
-        val waiting = jobList.filter { it.team == team && !it.pending.isEmpty }
-        if (waiting.all { left.covers(it.spec) }) return Amount()
-        return Amount(
-            maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cores } - left.cores),
-            maxOf(0.0, waiting.sumOf { it.waiting * it.spec.cards } - left.cards),
-        )
-    }
+    fun need(name: String): Amount = teams.need(name, jobList)
 
-    /**
-     * What this part can give of a team's allotment to the part of [to]: what nothing here waits for, or what is too
-     * little for any task here, then only in one direction, or two parts would hold each half of what a task needs.
-     */
-    fun spare(name: String, to: String): Amount {
-        val team = teamSlots.getInt(name)
-        if (team < 0 || !settled) return Amount()
-        val left = leftover(team)
-        val waiting = jobList.filter { it.team == team && !it.pending.isEmpty }
-        val useless = to < zone && waiting.isNotEmpty() && waiting.none { left.covers(it.spec) }
-        if (useless) return Amount(maxOf(0.0, left.cores), maxOf(0.0, left.cards))
-        return Amount(
-            maxOf(0.0, left.cores - waiting.sumOf { it.waiting * it.spec.cores }),
-            maxOf(0.0, left.cards - waiting.sumOf { it.waiting * it.spec.cards }),
-        )
+    /** What this partition can give of a team's allotment to the partition of [to]. */
+    fun spare(name: String, to: String): Amount =
+        if (settled) teams.spare(name, jobList, toEarlierZone = to < zone) else Amount()
+
+    private fun unknownAmount(): Amount? {
+        val inherited = unreconciled.amount() ?: return null
+        return inherited + (withUnknownTasks.amount() ?: return null)
     }
 
     /** Unlike any attempt of another owner or an earlier start: the token is in it. */
     private fun nextAttempt(): Long = (token shl ATTEMPT_BITS) or ++attempts
 
-    // ---- what others are told ---------------------------------------------------------------------------------
-
-    private fun waitingCores(): Double = jobList.sumOf { it.waitingCores }
-
-    /** Cores that the tasks of some jobs take here or wait for, as far as their teams' limits let them. */
-    fun demand(of: (JobSpec) -> Boolean): Double {
-        val byTeam = DoubleArray(teams.size)
-        for (job in jobList) {
-            if (job.team >= 0 && of(job.spec)) byTeam[job.team] += job.waitingCores + job.active.size * job.spec.cores
-        }
-        return teams.indices.sumOf { minOf(byTeam[it], teams[it].allotment.cores) }
-    }
-
-    val totalCores: Double get() = machineList.sumOf { if (it.serving) it.type.cores else 0.0 }
-
-    val ordinaryCores: Double get() = machineList.sumOf { if (!it.spot && it.serving) it.type.cores else 0.0 }
-
-    fun ordinaryMean(): Double = demand { !it.spot } / maxOf(ordinaryCores, 1.0)
-
-    /** The mean of the machines' loads; what waits counts too, as it does in the queues of Saqr's workers. */
-    fun mean(): Double {
-        val busy = machineList.sumOf { if (it.silent) 0.0 else it.usedCores }
-        return (busy + waitingCores()) / maxOf(totalCores, 1.0)
-    }
-
-    /** What the booked cores are doing. */
-    fun coresByPhase(): Map<Phase, Double> = machineList.flatMap {
-        it.attempts.values
-    }.groupBy { it.phase }.mapValues { (_, held) -> held.sumOf { it.job.spec.cores } }
-
     fun runningTasks(jobId: String): Int =
         job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
 
     private companion object {
         const val ATTEMPT_BITS = 24
         const val FAULTY = 3
-        const val AVOID_MS = 15_000L
-        const val SLOW_RATIO = 2.0
-        const val LONE_RATIO = 4.0
-        const val STRAGGLER_MS = 20_000L
         const val PROBE_MS = 3_000L
         const val FEW_MISSING = 50
         const val UNREACHABLE = 5
--- a/src/main/kotlin/io/otterknot/placement/PartChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartitionChooser.kt
@@ -5,8 +5,8 @@
 import io.otterknot.wire.JobSpec
 import kotlin.random.Random
 
-/** A part as a chooser sees it. */
-class PartView(val zone: String) {
+/** A partition as a chooser sees it. */
+class PartitionView(val zone: String) {
     var mean = 0.0
     var cores = 0.0
     var ordinaryMean = 0.0
@@ -23,7 +23,7 @@
     }
 
     /** A view of its own, for a choice that is no load yet. */
-    fun copy() = PartView(zone).also {
+    fun copy() = PartitionView(zone).also {
         it.mean = mean
         it.cores = cores
         it.ordinaryMean = ordinaryMean
@@ -35,34 +35,34 @@
         const val MIN_CORES = 32.0
     }
 
-    /** What teams need there beyond the part's allotment. */
+    /** What teams need there beyond the partition's allotment. */
     var needs: Map<String, Amount> = emptyMap()
 
     /** Announced idle machines, as far as this node knows. */
     var idleMachines = 0
 }
 
-/** The choice among parts, made like the one among machines: one announced idle, else the lower mean of two. */
-object PartChooser {
+/** The choice among partitions, made like the one among machines: one announced idle, else the lower mean of two. */
+object PartitionChooser {
     /**
-     * Deals the tasks of [spec] out to parts in at most [MAX_BLOCKS] blocks, raising the chosen parts' means in this
-     * view.
+     * Deals the tasks of [spec] out to partitions in at most [MAX_BLOCKS] blocks, raising the chosen partitions' means
+     * in this view.
      */
-    fun deal(spec: JobSpec, parts: List<PartView>, random: Random): List<Span> {
-        val open = if (spec.zone == null) parts else parts.filter { it.zone == spec.zone }
+    fun deal(spec: JobSpec, partitions: List<PartitionView>, random: Random): List<Span> {
+        val open = if (spec.zone == null) partitions else partitions.filter { it.zone == spec.zone }
         if (spec.oneZone || open.size == 1) {
-            val part = choose(open, spec, random)
-            part.raise(spec, spec.tasks)
-            return listOf(Span(part.zone, 0, spec.tasks))
+            val partition = choose(open, spec, random)
+            partition.raise(spec, spec.tasks)
+            return listOf(Span(partition.zone, 0, spec.tasks))
         }
         val counts = IntArray(open.size)
         val block = maxOf(1, (spec.tasks + MAX_BLOCKS - 1) / MAX_BLOCKS)
         var left = spec.tasks
         while (left > 0) {
             val size = minOf(block, left)
-            val part = choose(open, spec, random)
-            part.raise(spec, size)
-            counts[open.indexOf(part)] += size
+            val partition = choose(open, spec, random)
+            partition.raise(spec, size)
+            counts[open.indexOf(partition)] += size
             left -= size
         }
         val spans = ArrayList<Span>()
@@ -75,14 +75,14 @@
         return spans
     }
 
-    fun choose(parts: List<PartView>, spec: JobSpec, random: Random): PartView {
-        val idle = parts.filter { it.idleMachines > 0 }
+    fun choose(partitions: List<PartitionView>, spec: JobSpec, random: Random): PartitionView {
+        val idle = partitions.filter { it.idleMachines > 0 }
         if (idle.isNotEmpty()) return idle[random.nextInt(idle.size)].also { it.idleMachines-- }
-        val first = parts[random.nextInt(parts.size)]
-        if (parts.size == 1) return first
-        var other = random.nextInt(parts.size - 1)
-        if (other >= parts.indexOf(first)) other++
-        val second = parts[other]
+        val first = partitions[random.nextInt(partitions.size)]
+        if (partitions.size == 1) return first
+        var other = random.nextInt(partitions.size - 1)
+        if (other >= partitions.indexOf(first)) other++
+        val second = partitions[other]
         return if (second.meanFor(spec) < first.meanFor(spec)) second else first
     }
 
--- a/src/main/kotlin/io/otterknot/placement/PartJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartitionJob.kt
@@ -5,8 +5,8 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import java.util.BitSet
 
-/** The tasks of one job that belong to this part. Each is in one of the sets, active, or done. */
-class PartJob(val job: Job, described: JobSpec, val team: Int) {
+/** The tasks of one job that belong to this partition. Each is in one of the sets, active, or done. */
+class PartitionJob(val job: Job, described: JobSpec, val team: Int) {
     val id: String get() = job.id
 
     /** As its user describes it, but as urgent as the most urgent job that needs it. */
@@ -19,18 +19,18 @@
     val readyMs: Long = job.readyMs
 
     /** When it has to be complete for the sake of jobs that need it. */
-    val lentDueMs: Long? get() = job.needs.lentDueMs
+    val inheritedDueMs: Long? get() = job.dependencies.inheritedDueMs
 
     /** Takes the priority that the jobs which need it lend it now; whether that is another than before. */
-    fun takeLent(): Boolean {
+    fun takeInherited(): Boolean {
         val own = job.spec ?: return false
-        val priority = minOf(own.priority, job.needs.lentPriority ?: own.priority)
+        val priority = minOf(own.priority, job.dependencies.inheritedPriority ?: own.priority)
         if (priority == spec.priority) return false
         spec = own.copy(priority = priority)
         return true
     }
 
-    val mine = BitSet()
+    val owned = BitSet()
 
     /** May be started now. */
     val pending = BitSet()
@@ -38,21 +38,21 @@
     /** A machine that has not shown this owner's token yet may hold it. */
     val doubtful = BitSet()
 
-    /** Leaving for another part in a transaction whose outcome is not known yet; never started here meanwhile. */
+    /** Leaving for another partition in a transaction whose outcome is not known yet; never started here meanwhile. */
     val leaving = BitSet()
 
     /** Reported as completed, not yet durable. */
-    val fresh = BitSet()
+    val unrecorded = BitSet()
     val active = Int2ObjectOpenHashMap<Attempt>()
     var over = false
     var retryAtMs = 0L
     var failures = 0
 
-    /** A task of it has run, as far as this part knows. */
+    /** A task of it has run, as far as this partition knows. */
     var begun = false
     val unbegun: Boolean get() = !begun && active.isEmpty() && job.done.isEmpty
 
-    /** How long its tasks ran that completed in this part. */
+    /** How long its tasks ran that completed in this partition. */
     val runs = RunTimes()
 
     val expectedRunMs: Double get() = runs.meanMs ?: (spec.estimateS * 1000)
@@ -68,18 +68,19 @@
     /** Where its tasks may go in the pass under way; null: not looked for yet. */
     var candidates: JobCandidates? = null
 
-    /** Core-seconds left of the whole job, in all parts, by its owner's estimate. */
+    /** Core-seconds left of the whole job, in all partitions, by its owner's estimate. */
     val remainingWork: Double get() = (spec.tasks - job.done.cardinality()) * spec.cores * spec.estimateS
 
     /**
      * Ours and on no machine that we know of, not completed and not leaving: it may wait here, if it is not in doubt.
      */
     fun unheld(task: Int): Boolean =
-        mine.get(task) && !leaving.get(task) && !active.containsKey(task) && !fresh.get(task) && !job.done.get(task)
+        owned.get(task) && !leaving.get(task) && !active.containsKey(task) && !unrecorded.get(task) &&
+            !job.done.get(task)
 
     /** Every task of the job that is not done waits here, and none is on a machine or may be. */
     val allWaits: Boolean get() =
-        active.isEmpty() && doubtful.isEmpty && leaving.isEmpty && fresh.isEmpty &&
+        active.isEmpty() && doubtful.isEmpty && leaving.isEmpty && unrecorded.isEmpty &&
             pending.cardinality() == spec.tasks - job.done.cardinality()
 
     val waitingCores: Double get() = (waiting + doubtful.cardinality()) * spec.cores
--- a/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
+++ b/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
@@ -9,14 +9,14 @@
  * it. Without holding it, lower work that waits would take each freed core before the urgent task fits.
  */
 class RoomMaker(
-    private val startable: (PartJob) -> Int,
-    private val patient: (PartJob) -> Boolean,
+    private val startable: (PartitionJob) -> Int,
+    private val patient: (PartitionJob) -> Boolean,
     private val stop: (Attempt) -> Unit,
 ) {
     private class Option(val machine: Machine, val victims: List<Attempt>, val cost: Double)
 
     /** Makes room for the waiting [jobs] of one [priority], in their order. */
-    fun make(priority: Priority, jobs: List<PartJob>, machines: List<Machine>, now: Long) {
+    fun make(priority: Priority, jobs: List<PartitionJob>, machines: List<Machine>, now: Long) {
         for (machine in machines) machine.held(priority).clear()
         val hopeless = ArrayList<JobSpec>()
         val stoppable = HashMap<Machine, List<Attempt>>()
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -27,24 +27,24 @@
 /** What the scheduler asks of the ledger and tells it. */
 interface Ledger {
     val machines: List<Machine>
-    val jobs: List<PartJob>
+    val jobs: List<PartitionJob>
 
     /** How many more tasks of the job its team's limit and its own spread allow here now. */
-    fun startable(job: PartJob): Int
+    fun startable(job: PartitionJob): Int
 
     /** What the team uses, by its share. */
     fun pressure(team: Int): Double
 
     /** Books the job's next waiting task on [machine]. */
-    fun book(job: PartJob, machine: Machine, now: Long): Attempt
+    fun book(job: PartitionJob, machine: Machine, now: Long): Attempt
 
     /** Stops the attempt so that something more urgent gets its room. */
     fun stop(attempt: Attempt)
 }
 
 /**
- * Places what waits in a part. A task that waits fits nowhere, or it would have been placed: so when a report frees
- * room, only that machine is looked at, and all machines only once something has come to wait or the time is up.
+ * Places what waits in a partition. A task that waits fits nowhere, or it would have been placed: so when a report
+ * frees room, only that machine is looked at, and all machines only once something has come to wait or the time is up.
  */
 class Scheduler(
     private val ledger: Ledger,
@@ -162,13 +162,13 @@
         return chosen
     }
 
-    private fun mayStart(job: PartJob, now: Long) =
+    private fun mayStart(job: PartitionJob, now: Long) =
         !job.pending.isEmpty && job.retryAtMs <= now && ledger.startable(job) > 0
 
-    private fun fits(job: PartJob, machine: Machine, now: Long) =
+    private fun fits(job: PartitionJob, machine: Machine, now: Long) =
         machine.allowed(job.spec) && machine.spareFor(job.spec) && !machine.avoids(job.id, now)
 
-    private fun placeOne(job: PartJob, open: List<Machine>, only: Machine?, now: Long): Attempt? {
+    private fun placeOne(job: PartitionJob, open: List<Machine>, only: Machine?, now: Long): Attempt? {
         val machine = if (only != null) {
             only.takeIf { fits(job, it, now) }?.also { it.take(it.share(job.spec)) }
         } else {
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/SlowTaskDetector.kt
@@ -0,0 +1,55 @@
+package io.otterknot.placement
+
+import org.slf4j.LoggerFactory
+
+/** Finds machines that run their tasks far slower than others, and tasks that run far longer than their like. */
+class SlowTaskDetector(private val zone: String) {
+    private val log = LoggerFactory.getLogger(SlowTaskDetector::class.java)
+
+    /** [attempt] has completed on [machine]. */
+    fun completed(machine: Machine, attempt: Attempt, now: Long) {
+        if (!attempt.ran) return
+        val ms = now - attempt.since
+        val ratio = attempt.job.runs.ratio(ms)
+        attempt.job.runs.add(ms)
+        if (ratio != null) noteSlowness(machine, ratio)
+    }
+
+    /**
+     * A task that runs far longer than its like is stopped and tried elsewhere, where its machine is known to be slow;
+     * otherwise once at most, since it may be the task that is long.
+     */
+    fun stopStragglers(machine: Machine, now: Long) {
+        for (attempt in machine.attempts.values) {
+            if (attempt.phase != Phase.RUNNING || attempt.halting || !attempt.ran) continue
+            val job = attempt.job
+            val ratio = job.runs.ratio(now - attempt.since) ?: continue
+            val limit = if (machine.slowness.slow) SLOW_MACHINE_RATIO else SINGLE_TASK_RATIO
+            val isEarly = now - attempt.since < LEAST_RUN_MS
+            if (ratio < limit || isEarly || job.restarted.get(attempt.task)) continue
+            job.restarted.set(attempt.task)
+            machine.avoid(job, now)
+            log.debug("{}: {} on {} runs {} times as long as others", zone, attempt.name, machine.id, ratio)
+            attempt.halt()
+            noteSlowness(machine, ratio)
+        }
+    }
+
+    private fun noteSlowness(machine: Machine, ratio: Double) {
+        machine.slowness.add(ratio)
+        if (!machine.slowness.slow || machine.draining) return
+        log.info(
+            "{}: {} takes {} times as long as others for its tasks; it is emptied and returned",
+            zone,
+            machine.id,
+            machine.slowness,
+        )
+        machine.draining = true
+    }
+
+    private companion object {
+        const val SLOW_MACHINE_RATIO = 2.0
+        const val SINGLE_TASK_RATIO = 4.0
+        const val LEAST_RUN_MS = 20_000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/TeamLedger.kt
@@ -0,0 +1,96 @@
+package io.otterknot.placement
+
+import io.otterknot.state.Amount
+import io.otterknot.wire.JobSpec
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
+
+/**
+ * What each team uses of its allotment in one partition. Teams are known by dense indices; -1 stands for a team that
+ * the settings do not name. [unknown] is what machines may hold of which it is not known what is on them; null: not
+ * known either, so nothing can be said to be left.
+ */
+class TeamLedger(private val teams: List<TeamShare>, private val unknown: () -> Amount?) {
+    private val indexByName = Object2IntOpenHashMap<String>().apply {
+        defaultReturnValue(-1)
+        teams.forEachIndexed { index, team -> put(team.name, index) }
+    }
+    private val usedCores = DoubleArray(teams.size)
+    private val usedCards = DoubleArray(teams.size)
+
+    fun index(name: String): Int = indexByName.getInt(name)
+
+    /** What a team uses for its share: the lower, the sooner its jobs are served. */
+    fun pressure(team: Int): Double = if (team < 0) 0.0 else usedCores[team] / teams[team].weight
+
+    fun book(team: Int, spec: JobSpec) = use(team, spec.cores, spec.cards)
+
+    fun unbook(team: Int, spec: JobSpec) = use(team, -spec.cores, -spec.cards)
+
+    private fun use(team: Int, cores: Double, cards: Double) {
+        if (team < 0) return
+        usedCores[team] += cores
+        usedCards[team] += cards
+    }
+
+    /** Whether the team is known. */
+    fun allot(name: String, allotment: Amount): Boolean {
+        val team = index(name)
+        if (team < 0) return false
+        teams[team].allotment = allotment
+        return true
+    }
+
+    /**
+     * What a team may still use. A machine that is not known yet, or that shows a task not booked here, may be full of
+     * its tasks, also of jobs that are over: until it is known what is there, all of that machine counts as used.
+     */
+    fun left(team: Int): Amount {
+        val left = teams[team].allotment - Amount(usedCores[team], usedCards[team])
+        return left - (unknown() ?: return Amount())
+    }
+
+    /** How many tasks like [spec] the team may start, at most [wanted]. */
+    fun startable(team: Int, spec: JobSpec, wanted: Int): Int {
+        val left = left(team)
+        var count = wanted
+        if (spec.cores > 0) count = minOf(count.toDouble(), (left.cores + Machine.EPS) / spec.cores).toInt()
+        if (spec.cards > 0) count = minOf(count.toDouble(), (left.cards + Machine.EPS) / spec.cards).toInt()
+        return maxOf(0, count)
+    }
+
+    /** What the waiting tasks of a team need beyond the allotment; nothing while it lets one of each start. */
+    fun need(name: String, jobs: List<PartitionJob>): Amount {
+        val team = index(name)
+        if (team < 0) return Amount()
+        val left = left(team)
+        val waiting = waiting(team, jobs)
+        if (waiting.all { left.covers(it.spec) }) return Amount()
+        return (needed(waiting) - left).atLeastZero()
+    }
+
+    /**
+     * What can be given of a team's allotment: what nothing here waits for, or, if [toEarlierZone], what is too little
+     * for any task here; only in one direction, or two partitions would hold each half of what a task needs.
+     */
+    fun spare(name: String, jobs: List<PartitionJob>, toEarlierZone: Boolean): Amount {
+        val team = index(name)
+        if (team < 0) return Amount()
+        val left = left(team)
+        val waiting = waiting(team, jobs)
+        val isUseless = toEarlierZone && waiting.isNotEmpty() && waiting.none { left.covers(it.spec) }
+        return (if (isUseless) left else left - needed(waiting)).atLeastZero()
+    }
+
+    /** The sum over the teams of what [coresOf] says, each no more than its allotment. */
+    fun sumWithinAllotments(coresOf: (team: Int) -> Double): Double =
+        teams.indices.sumOf { minOf(coresOf(it), teams[it].allotment.cores) }
+
+    private fun waiting(team: Int, jobs: List<PartitionJob>) = jobs.filter { it.team == team && !it.pending.isEmpty }
+
+    private fun needed(waiting: List<PartitionJob>) =
+        Amount(waiting.sumOf { it.waiting * it.spec.cores }, waiting.sumOf { it.waiting * it.spec.cards })
+
+    private fun Amount.covers(spec: JobSpec) = spec.cores <= cores + Machine.EPS && spec.cards <= cards + Machine.EPS
+
+    private fun Amount.atLeastZero() = Amount(maxOf(0.0, cores), maxOf(0.0, cards))
+}
--- a/src/main/kotlin/io/otterknot/placement/Suspects.kt
+++ b/src/main/kotlin/io/otterknot/placement/UnreconciledMachines.kt
@@ -4,12 +4,12 @@
 import io.otterknot.wire.MachineType
 
 /** Machines of which all counts as used since it is not known what is on them, with their types. */
-class Suspects(machines: Map<String, String>, private val typeOf: (String) -> MachineType?) {
+class UnreconciledMachines(machines: Map<String, String>, private val typeOf: (String) -> MachineType?) {
     private val types = HashMap(machines)
 
     /**
      * What all of them have, added up once: each waiting job asks for it in each pass, and after all controllers have
-     * ended there are as many suspects as machines. Null while some type is not known.
+     * ended there are as many unreconciled as machines. Null while some type is not known.
      */
     private var added: Amount? = null
 
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -9,15 +9,15 @@
  */
 class WaitOrder(private val aims: Aims, private val wallOf: (Long) -> Long) {
     class Queue(val team: Int) {
-        val jobs = ArrayList<PartJob>()
+        val jobs = ArrayList<PartitionJob>()
         var next = 0
-        val head: PartJob? get() = jobs.getOrNull(next)
+        val head: PartitionJob? get() = jobs.getOrNull(next)
 
         /**
          * The head, or one of the next few that are as urgent as it and that [suits] likes better. Strictly in order,
          * the tasks of each job would go to all machines one after the other and its image be fetched by each.
          */
-        fun pick(suits: (PartJob) -> Boolean): PartJob {
+        fun pick(suits: (PartitionJob) -> Boolean): PartitionJob {
             val head = jobs[next]
             if (suits(head)) return head
             for (at in next + 1 until minOf(jobs.size, next + LOOK)) {
@@ -41,7 +41,7 @@
      * Jobs of which nothing has begun for long. Each gets one task before all others: with small jobs arriving all the
      * time, the largest would never begin, and best-effort work never under a steady load of urgent work.
      */
-    val overdue = ArrayList<PartJob>()
+    val overdue = ArrayList<PartitionJob>()
 
     val empty: Boolean get() = leastCores == Double.MAX_VALUE
 
@@ -51,7 +51,7 @@
 
     fun queues(priority: Priority): List<Queue> = queues[priority.ordinal]
 
-    fun refresh(jobs: List<PartJob>, now: Long) {
+    fun refresh(jobs: List<PartitionJob>, now: Long) {
         if (!stale && now - madeMs < KEEP_MS) return
         stale = false
         madeMs = now
@@ -67,9 +67,9 @@
     }
 
     /** Jobs of which tasks wait, the most urgent first. */
-    fun sorted(jobs: List<PartJob>, now: Long): List<PartJob> {
+    fun sorted(jobs: List<PartitionJob>, now: Long): List<PartitionJob> {
         val wall = wallOf(now)
-        val waiting = ArrayList<PartJob>()
+        val waiting = ArrayList<PartitionJob>()
         for (job in jobs) {
             if (job.pending.isEmpty) continue
             job.missedAims = aims.missed(job, wall)
@@ -97,7 +97,7 @@
         private const val LOOK = 10
         private const val SOON_S = 30.0
         private const val BEGIN_MS = 90_000L
-        private val ORDER = compareBy<PartJob> { it.spec.priority }
+        private val ORDER = compareBy<PartitionJob> { it.spec.priority }
             .thenBy { it.rank }
             .thenBy { it.workLeft }
             .thenBy { it.submittedMs }
--- a/src/main/kotlin/io/otterknot/state/Figures.kt
+++ b/src/main/kotlin/io/otterknot/state/Figures.kt
@@ -28,9 +28,9 @@
     }
 
     fun countsText(): String {
-        val parts = sortedMapOf<String, Long>()
-        counts.forEach { what, number -> parts[what] = number }
-        return parts.entries.joinToString { "${it.key} ${it.value}" }
+        val partitions = sortedMapOf<String, Long>()
+        counts.forEach { what, number -> partitions[what] = number }
+        return partitions.entries.joinToString { "${it.key} ${it.value}" }
     }
 
     fun timesText(): String = times.entries.sortedBy { it.key }.filter { it.value.totalCount > 0 }
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -10,21 +10,21 @@
     val done = BitSet()
 
     /** What it awaits, and what follows from that; see [Pipelines]. */
-    var needs = Needs(emptySet())
+    var dependencies = Dependencies(emptySet())
 
     val spec: JobSpec? get() = record?.spec
     val final: Final? get() = record?.final
 
     /** Its final state, written or certain: what awaits a cancelled job can never run. */
-    val outcome: Final? get() = final ?: Final.CANCELLED.takeIf { needs.orphaned }
+    val outcome: Final? get() = final ?: Final.CANCELLED.takeIf { dependencies.orphaned }
     val live: Boolean get() = record?.spec != null && final == null
     val complete: Boolean get() = outcome == null && spec?.let { done.cardinality() >= it.tasks } ?: false
 
     /** Every job that it awaits is durably done, which never turns back. */
-    val ready: Boolean get() = needs.open == 0 && !needs.orphaned
+    val ready: Boolean get() = dependencies.unmet == 0 && !dependencies.orphaned
 
     /** Since when it could run, by the time of day. */
-    val readyMs: Long get() = maxOf(record?.submittedMs ?: 0, needs.metMs)
+    val readyMs: Long get() = maxOf(record?.submittedMs ?: 0, dependencies.satisfiedMs)
 }
 
 /** All jobs ever accepted; final ones are kept without their description. */
@@ -58,7 +58,7 @@
     fun changeAwaits(key: String, entry: Entry?): List<Job> {
         if (entry == null) return emptyList()
         val path = key.substring(Keys.AWAITS.length)
-        return pipelines.more(
+        return pipelines.addAwaitedJobs(
             known(path.substringBefore('/')),
             path.substringAfter('/').toInt(),
             decodeRecord(AwaitsRecord.serializer(), entry.value).jobs,
--- a/src/main/kotlin/io/otterknot/state/Keys.kt
+++ b/src/main/kotlin/io/otterknot/state/Keys.kt
@@ -5,7 +5,7 @@
     const val ROOT = "o/"
     const val JOBS = "o/j/"
     const val DONE = "o/d/"
-    const val PARTS = "o/p/"
+    const val PARTITIONS = "o/p/"
     const val MACHINES = "o/m/"
     const val MEANS = "o/s/"
     const val ALLOTMENTS = "o/q/"
@@ -17,7 +17,7 @@
 
     fun job(id: String) = JOBS + id
     fun done(zone: String, segment: String) = "$DONE$zone/$segment"
-    fun part(zone: String) = PARTS + zone
+    fun partition(zone: String) = PARTITIONS + zone
     fun machines(zone: String) = "$MACHINES$zone/"
     fun machines(zone: String, segment: Int) = "$MACHINES$zone/$segment"
     fun awaits(job: String, number: Int) = "$AWAITS$job/$number"
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -7,11 +7,11 @@
 
 /**
  * This node's share of a service's limits, as two buckets of one second's worth. The [share] of each may change as
- * parts come and go; the shares of all nodes never pass the whole.
+ * partitions come and go; the shares of all nodes never pass the whole.
  *
  * Requests that a user waits for go first: they take their place at once and wait for their turn, for no longer than
- * they say. Duties wait until there is something for them and leave no debt behind, so that users never queue behind
- * a long batch; and what only reads never waits for changes.
+ * they say. Background tasks wait until there is something for them and leave no debt behind, so that users never queue
+ * behind a long batch; and what only reads never waits for changes.
  */
 class RateBudget(
     requestsPerS: Double,
@@ -51,8 +51,8 @@
 
     private val requests = Bucket(requestsPerS, nowMs())
     private val changes = Bucket(changesPerS, nowMs())
-    private val duties = Mutex()
-    private val lesserDuties = Mutex()
+    private val backgroundTasks = Mutex()
+    private val lowPriorityTasks = Mutex()
 
     private fun fill() {
         val now = nowMs()
@@ -111,19 +111,22 @@
         return true
     }
 
-    /** For duties: waits until so many changes are there, and for [lesser] ones until some are left besides. */
-    suspend fun takeSpare(changeCount: Int, lesser: Boolean = false) = (if (lesser) lesserDuties else duties).withLock {
-        while (true) {
-            fill()
-            val reserve = if (lesser) changes.size * RESERVE else 0.0
-            val wait = maxOf(requests.waitMs(1.0), changes.waitMs(minOf(changeCount + reserve, changes.size)))
-            if (wait == 0L) break
-            delay(wait)
+    /**
+     * For background tasks: waits until so many changes are there, and for [lesser] ones until some are left besides.
+     */
+    suspend fun takeSpare(changeCount: Int, lesser: Boolean = false) =
+        (if (lesser) lowPriorityTasks else backgroundTasks).withLock {
+            while (true) {
+                fill()
+                val reserve = if (lesser) changes.size * RESERVE else 0.0
+                val wait = maxOf(requests.waitMs(1.0), changes.waitMs(minOf(changeCount + reserve, changes.size)))
+                if (wait == 0L) break
+                delay(wait)
+            }
+            use(changeCount)
         }
-        use(changeCount)
-    }
 
-    /** How many changes a duty may make at once without waiting for more than a second's worth. */
+    /** How many changes a background task may make at once without waiting for more than a second's worth. */
     val most: Int get() {
         fill()
         return maxOf(1, changes.size.toInt())
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -18,7 +18,7 @@
     CANCELLED,
 }
 
-/** Tasks [from] until [until] belong to the part of [zone]. */
+/** Tasks [from] until [until] belong to the partition of [zone]. */
 @Serializable
 data class Span(@SerialName("z") val zone: String, @SerialName("f") val from: Int, @SerialName("u") val until: Int)
 
@@ -41,15 +41,15 @@
     /** When it became final, by the time of day of the controller that wrote so. */
     @SerialName("e") val endedMs: Long? = null,
 ) {
-    /** The part whose owner says that the job is done. */
+    /** The partition whose owner says that the job is done. */
     val homeZone: String? get() = spans.firstOrNull()?.zone
 }
 
 @Serializable
-data class PartRecord(@SerialName("o") val owner: String, @SerialName("i") val incarnation: String)
+data class PartitionRecord(@SerialName("o") val owner: String, @SerialName("i") val incarnation: String)
 
 /**
- * A part as others see it: the mean of its machines' loads and the cores behind it; and the same for its ordinary
+ * A partition as others see it: the mean of its machines' loads and the cores behind it; and the same for its ordinary
  * machines alone with the tasks that may run on no other, since those cannot use what is free on spot machines.
  */
 @Serializable
@@ -58,7 +58,7 @@
     @SerialName("c") val cores: Double = 0.0,
     @SerialName("om") val ordinaryMean: Double = 0.0,
     @SerialName("oc") val ordinaryCores: Double = 0.0,
-    /** By team: cores and cards that waiting tasks need beyond the part's allotment. */
+    /** By team: cores and cards that waiting tasks need beyond the partition's allotment. */
     @SerialName("n") val needs: Map<String, Amount> = emptyMap(),
 )
 
@@ -69,7 +69,8 @@
 }
 
 /**
- * How a team's limit is divided among the parts. The sum never changes: a part gives of its own, in one transaction.
+ * How a team's limit is divided among the partitions. The sum never changes: a partition gives of its own, in one
+ * transaction.
  */
 @Serializable
 data class AllotmentRecord(@SerialName("z") val byZone: Map<String, Amount>) {
@@ -82,8 +83,8 @@
     companion object {
         /** What holds until something has been moved. No limit, given as 0, is a limit that nothing reaches. */
         fun even(zones: List<String>, maxCores: Double, maxCards: Double): AllotmentRecord {
-            fun part(max: Double) = if (max > 0) max / zones.size else UNLIMITED
-            return AllotmentRecord(zones.associateWith { Amount(part(maxCores), part(maxCards)) })
+            fun partition(max: Double) = if (max > 0) max / zones.size else UNLIMITED
+            return AllotmentRecord(zones.associateWith { Amount(partition(maxCores), partition(maxCards)) })
         }
 
         const val UNLIMITED = 1e12
--- a/src/main/kotlin/io/otterknot/state/Writer.kt
+++ b/src/main/kotlin/io/otterknot/state/Writer.kt
@@ -16,8 +16,8 @@
 }
 
 /**
- * Brings the keys that only a partition's owner writes to what it wants, in batches. Each key's known version is guarded
- * besides the partition's key: a transaction that was given up and is carried out late can then change nothing.
+ * Brings the keys that only a partition's owner writes to what it wants, in batches. Each key's known version is
+ * guarded besides the partition's key: a transaction that was given up and is carried out late can then change nothing.
  *
  * A batch that is refused for its size is tried again in smaller batches; a single value that is refused is set aside
  * for a while, so that it does not hold up the others, or until something smaller is to be written.
--- a/src/main/kotlin/io/otterknot/workers/ReportDoor.kt
+++ b/src/main/kotlin/io/otterknot/workers/ReportEndpoint.kt
@@ -2,7 +2,7 @@
 
 import io.otterknot.http.HttpResponse
 import io.otterknot.ownership.Ownership
-import io.otterknot.placement.Part
+import io.otterknot.placement.Partition
 import io.otterknot.placement.ReportDecision
 import io.otterknot.wire.Commands
 import io.otterknot.wire.Malformed
@@ -10,11 +10,11 @@
 import io.otterknot.wire.Report
 import io.otterknot.wire.parseReport
 
-/** Where workers' reports come in: answered by the owner of the machine's part, redirected by everyone else. */
-class ReportDoor(
+/** Where workers' reports come in: answered by the owner of the machine's partition, redirected by everyone else. */
+class ReportEndpoint(
     private val label: String,
     private val ownership: Ownership,
-    private val parts: Map<String, Part>,
+    private val partitions: Map<String, Partition>,
     private val nowMs: () -> Long,
 ) {
     fun handle(body: ByteArray): HttpResponse {
@@ -28,8 +28,8 @@
         val token = ownership.token(zone) ?: return elsewhere(report)
         if (report.token > token) return lost(zone)
         // Claimed, but not everything written before the claim has been read yet: no commands, only the new token.
-        val part = parts[zone]?.takeIf { it.token == token } ?: return answer(token, emptyList())
-        return when (val decision = part.report(report, nowMs())) {
+        val partition = partitions[zone]?.takeIf { it.token == token } ?: return answer(token, emptyList())
+        return when (val decision = partition.report(report, nowMs())) {
             is ReportDecision.Answer -> answer(decision.token, decision.commands)
             ReportDecision.Superseded -> lost(zone)
             ReportDecision.Stale -> HttpResponse.refusal(503, "a newer report came before this one")
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -18,7 +18,7 @@
 import io.otterknot.http.Transport
 import io.otterknot.peer.PeerTransport
 import io.otterknot.state.Keys
-import io.otterknot.state.PartRecord
+import io.otterknot.state.PartitionRecord
 import io.otterknot.state.decodeRecord
 import io.otterknot.wire.Command
 import io.otterknot.wire.Commands
@@ -489,9 +489,9 @@
     fun boot(zone: String, spot: Boolean): Worker =
         Worker("m-%06d".format(++lastMachine), zone, spot).also { workers[it.id] = it }
 
-    /** Who owns which part, as the state service says. */
+    /** Who owns which partition, as the state service says. */
     fun owners(): Map<String, String> = zones.mapNotNull { zone ->
-        state.value(Keys.part(zone))?.let { zone to decodeRecord(PartRecord.serializer(), it).owner }
+        state.value(Keys.partition(zone))?.let { zone to decodeRecord(PartitionRecord.serializer(), it).owner }
     }.toMap()
 
     fun machines(): List<Worker> = workers.values.toList()
--- a/src/test/kotlin/io/otterknot/ClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/ClusterTest.kt
@@ -17,7 +17,7 @@
         fun cases() = listOf(
             Case("quiet") { },
             Case("a team at its limit", teamLimit = 12.0) { },
-            Case("a team whose limit is below one task for each part", teamLimit = 5.0) { },
+            Case("a team whose limit is below one task for each partition", teamLimit = 5.0) { },
             Case("a team at its limit while controllers restart", teamLimit = 8.0) {
                 for (node in nodes) {
                     crash(node)
@@ -269,7 +269,7 @@
                 machines().take(2).forEach { it.faulty = true }
                 delay(20_000)
             },
-            Case("a crashed controller's parts are taken over before its machines' leases end") {
+            Case("a crashed controller's partitions are taken over before its machines' leases end") {
                 delay(15_000)
                 crash("holt-a")
                 crash("holt-b")
@@ -277,11 +277,15 @@
                 if (owners().values.toSet() !=
                     setOf("holt-c")
                 ) {
-                    broken.add("crashed controllers still own parts: ${owners()}")
+                    broken.add("crashed controllers still own partitions: ${owners()}")
                 }
                 startNode("holt-a")
                 delay(30_000)
-                if ("holt-a" !in owners().values) broken.add("a controller that came back got no part: ${owners()}")
+                if ("holt-a" !in
+                    owners().values
+                ) {
+                    broken.add("a controller that came back got no partition: ${owners()}")
+                }
                 startNode("holt-b")
             },
             Case("a claim from a live owner, the claimant ends at once") {
@@ -324,7 +328,7 @@
                 if (owner == "holt-a" ||
                     owners()["a"] != owner
                 ) {
-                    broken.add("the part of a went from $owner to ${owners()["a"]}")
+                    broken.add("the partition of a went from $owner to ${owners()["a"]}")
                 }
             },
             Case(
@@ -388,7 +392,7 @@
                 if (owners().values.toSet() !=
                     setOf("holt-c")
                 ) {
-                    broken.add("crashed controllers still own parts: ${owners()}")
+                    broken.add("crashed controllers still own partitions: ${owners()}")
                 }
                 startNode("holt-a")
                 startNode("holt-b")
--- a/src/test/kotlin/io/otterknot/FormatTest.kt
+++ b/src/test/kotlin/io/otterknot/FormatTest.kt
@@ -14,7 +14,7 @@
 import io.otterknot.state.Keys
 import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
-import io.otterknot.state.PartRecord
+import io.otterknot.state.PartitionRecord
 import io.otterknot.state.Span
 import io.otterknot.state.TaskBits
 import io.otterknot.state.WriteLimits
@@ -62,7 +62,7 @@
         )
         for ((text, serializer) in listOf(
             """{"m":{"m-000001":"big"}}""" to MachinesRecord.serializer(),
-            """{"o":"holt-0","i":"3k"}""" to PartRecord.serializer(),
+            """{"o":"holt-0","i":"3k"}""" to PartitionRecord.serializer(),
             """{"m":0.5,"c":64.0,"om":0.25,"oc":16.0,"n":{"red":{"c":3.0,"g":0.0}}}""" to MeanRecord.serializer(),
             """{"z":{"a":{"c":4.0,"g":0.0},"b":{"c":8.0,"g":0.0}}}""" to AllotmentRecord.serializer(),
         )) {
--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -13,7 +13,9 @@
     fun `no rule breaks where troubles meet`(case: Case) = case.play()
 
     companion object {
-        /** Work that is there for long, in every part: what is called off must be ended, it does not end by itself. */
+        /**
+         * Work that is there for long, in every partition: what is called off must be ended, it does not end by itself.
+         */
         private suspend fun ClusterStandIn.longWork(jobs: Int = 8, runS: Double = 120.0) {
             for (id in 201..200 + jobs) user(spec(id, 4, runS))
             delay(9_000)
@@ -148,7 +150,7 @@
                 delay(20_000)
                 state.lateWrites = 0.0
             },
-            Case("late transactions while parts change hands, and a team is at its limit", teamLimit = 16.0) {
+            Case("late transactions while partitions change hands, and a team is at its limit", teamLimit = 16.0) {
                 state.lateWrites = 0.3
                 repeat(6) {
                     restart(nodes[it % 3])
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -3,10 +3,10 @@
 import io.otterknot.config.BadSettings
 import io.otterknot.config.SettingsFile
 import io.otterknot.ownership.Fence
-import io.otterknot.ownership.Strays
+import io.otterknot.ownership.MisdirectedWorkers
 import io.otterknot.ownership.claimRank
 import io.otterknot.ownership.leaseTtlMs
-import io.otterknot.ownership.manyStrays
+import io.otterknot.ownership.manyMisdirected
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.Entry
 import io.otterknot.state.Figures
@@ -56,7 +56,7 @@
     }
 
     @Test
-    fun `each part has one first claimant, its own zone's node if there is one`() {
+    fun `each partition has one first claimant, its own zone's node if there is one`() {
         val domains = mapOf("n0" to "a", "n1" to "b", "n2" to "c")
         val zones = listOf("a", "b", "c", "d")
         for (zone in zones) {
@@ -84,7 +84,7 @@
     /** A poll behind a long batch of completions, or a submission behind a queue of handovers, would be refused. */
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
-    fun `reads do not wait for changes, and users not for duties`() = runTest {
+    fun `reads do not wait for changes, and users not for background tasks`() = runTest {
         val budget = RateBudget(50.0, 5.0, { testScheduler.currentTime })
         repeat(4) { launch { budget.takeSpare(4) } }
         repeat(4) { launch { budget.takeSpare(1, lesser = true) } }
@@ -125,33 +125,34 @@
 
     @Test
     fun `machines that come back from an owner that does not answer are counted, others are not`() {
-        val strays = Strays()
-        listOf("m1", "m2", "m3").forEach { strays.sent("a", it, 1_000, false) }
-        strays.sent("a", "m1", 1_300, false)
-        assertEquals(0, strays.count("a", 1_400), "it may have crossed the first answer")
-        strays.sent("a", "m1", 2_500, false)
-        strays.sent("a", "m2", 2_800, false)
-        strays.sent("b", "m9", 2_800, false)
-        assertEquals(2, strays.count("a", 3_000))
-        assertEquals(0, strays.count("a", 9_000), "that was long ago")
-        strays.sent("a", "m3", 20_000, false)
-        assertEquals(0, strays.count("a", 20_100), "it was served well for a while")
-        strays.sent("a", "m3", 21_000, false)
-        strays.forget("a")
-        assertEquals(0, strays.count("a", 21_100))
-        listOf("m1", "m2").forEach { strays.sent("a", it, 30_000, true) }
-        strays.sent("a", "new", 30_000, false)
-        assertEquals(2, strays.left("a", 30_500), "a machine that is not registered yet looks for its owner")
-        assertEquals(0, strays.left("a", 35_000))
+        val misdirected = MisdirectedWorkers()
+        listOf("m1", "m2", "m3").forEach { misdirected.sent("a", it, 1_000, false) }
+        misdirected.sent("a", "m1", 1_300, false)
+        assertEquals(0, misdirected.count("a", 1_400), "it may have crossed the first answer")
+        misdirected.sent("a", "m1", 2_500, false)
+        misdirected.sent("a", "m2", 2_800, false)
+        misdirected.sent("b", "m9", 2_800, false)
+        assertEquals(2, misdirected.count("a", 3_000))
+        assertEquals(0, misdirected.count("a", 9_000), "that was long ago")
+        misdirected.sent("a", "m3", 20_000, false)
+        assertEquals(0, misdirected.count("a", 20_100), "it was served well for a while")
+        misdirected.sent("a", "m3", 21_000, false)
+        misdirected.forget("a")
+        assertEquals(0, misdirected.count("a", 21_100))
+        listOf("m1", "m2").forEach { misdirected.sent("a", it, 30_000, true) }
+        misdirected.sent("a", "new", 30_000, false)
+        assertEquals(2, misdirected.left("a", 30_500), "a machine that is not registered yet looks for its owner")
+        assertEquals(0, misdirected.left("a", 35_000))
     }
 
     /**
-     * With a fixed number, machines that hang and go on together would have a large part claimed from a sound owner.
+     * With a fixed number, machines that hang and go on together would have a large partition claimed from a sound
+     * owner.
      */
     @ParameterizedTest
     @CsvSource("6,3,3", "16,3,3", "315,5,24", "250,3,38", "470,5,36")
-    fun `how many machines speak against an owner grows with its part`(machines: Int, nodes: Int, many: Int) =
-        assertEquals(many, manyStrays(machines, nodes))
+    fun `how many machines speak against an owner grows with its partition`(machines: Int, nodes: Int, many: Int) =
+        assertEquals(many, manyMisdirected(machines, nodes))
 
     @Test
     fun `figures are counted and told`() {
--- a/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
@@ -77,7 +77,9 @@
             if (state.tooLarge.isNotEmpty()) broken.add("refused for size: ${state.tooLarge}")
         }
 
-        /** Nothing in the settings tells of these limits: only refusals do, and nothing may be lost or held up by them. */
+        /**
+         * Nothing in the settings tells of these limits: only refusals do, and nothing may be lost or held up by them.
+         */
         private fun unannounced() = listOf("before", "while", "after").map { moment ->
             Case("limits that nobody announced hold from $moment the upgrade on", seeds = 1) {
                 fun lower() {
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -2,8 +2,8 @@
 
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartTimes
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionTimings
 import io.otterknot.placement.TeamShare
 import io.otterknot.state.Amount
 import io.otterknot.state.DoneRecord
@@ -142,9 +142,9 @@
             assertEquals(
                 List(3) { Priority.HIGH to 90_000L - 14_000 * (3 - it) },
                 (1..3).map {
-                    lending[id(it)]!!.needs.let { needs ->
-                        needs.lentPriority to
-                            needs.lentDueMs
+                    lending[id(it)]!!.dependencies.let { dependencies ->
+                        dependencies.inheritedPriority to
+                            dependencies.inheritedDueMs
                     }
                 },
             )
@@ -177,7 +177,7 @@
             submit(0)
             for (number in 1..count) submit(number, number - 1)
             submit(count + 1, count, priority = Priority.HIGH, dueS = 900.0)
-            assertEquals(Priority.HIGH, table[id(0)]!!.needs.lentPriority)
+            assertEquals(Priority.HIGH, table[id(0)]!!.dependencies.inheritedPriority)
             assertEquals(count + 2, end(0, Final.CANCELLED).size)
             assertEquals(Final.CANCELLED, outcome(count + 1))
             submit(500_000)
@@ -192,7 +192,7 @@
         submit(2, 1)
         submit(3, 2, priority = Priority.HIGH, dueS = 100.0)
         submit(4, 1, priority = Priority.NORMAL, dueS = 300.0)
-        fun lent(number: Int) = table[id(number)]!!.needs.let { it.lentPriority to it.lentDueMs }
+        fun lent(number: Int) = table[id(number)]!!.dependencies.let { it.inheritedPriority to it.inheritedDueMs }
         // Each step back takes the estimate of 10 s and 4 s besides.
         assertEquals(Priority.HIGH to 103_000L - 14_000, lent(2))
         assertEquals(Priority.HIGH to 103_000L - 28_000, lent(1))
@@ -203,34 +203,34 @@
         assertEquals(Priority.BEST_EFFORT to null, lent(1))
     }
 
-    private fun part(aims: Aims = Aims(emptyMap())) = Part(
-        "a", 7, 0, 0, PartTimes(10_000), Random(1), aims, { it }, { MachineType("big", 8.0, 0.0, 64.0) },
+    private fun partition(aims: Aims = Aims(emptyMap())) = Partition(
+        "a", 7, 0, 0, PartitionTimings(10_000), Random(1), aims, { it }, { MachineType("big", 8.0, 0.0, 64.0) },
         listOf(TeamShare("red", 1.0, Amount(1e9, 0.0))), emptyMap(),
     )
 
     @Test
-    fun `a part takes up nothing of a job before it is ready, and drops it when it is cancelled with another`() {
-        val part = part()
+    fun `a partition takes up nothing of a job before it is ready, and drops it when it is cancelled with another`() {
+        val partition = partition()
         submit(1)
         submit(2, 1)
-        fun update(ids: List<String>) = ids.forEach { part.updateJob(table[it]!!, inherited = false) }
+        fun update(ids: List<String>) = ids.forEach { partition.updateJob(table[it]!!, inherited = false) }
         update(listOf(id(1), id(2)))
-        assertEquals(listOf(id(1)), part.jobs.map { it.id })
-        assertEquals(4.0, part.demand { true })
+        assertEquals(listOf(id(1)), partition.jobs.map { it.id })
+        assertEquals(4.0, partition.load.demand { true })
         update(end(1))
-        assertEquals(listOf(id(2)), part.jobs.map { it.id })
+        assertEquals(listOf(id(2)), partition.jobs.map { it.id })
         submit(3)
         submit(4, 3)
         update(listOf(id(3), id(4)))
         update(end(3, Final.CANCELLED))
-        assertEquals(listOf(id(2)), part.jobs.map { it.id })
+        assertEquals(listOf(id(2)), partition.jobs.map { it.id })
     }
 
     /** Taken over, a job that was ready before the claim may run somewhere; one that became so afterwards can't. */
     @Test
     fun `a job that becomes ready after a claim is in no doubt, one that was before is`() {
-        val part = Part(
-            "a", 7, 0, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), {
+        val partition = Partition(
+            "a", 7, 0, 0, PartitionTimings(10_000), Random(1), Aims(emptyMap()), {
                 it
             }, { MachineType("big", 8.0, 0.0, 64.0) },
             listOf(TeamShare("red", 1.0, Amount(1e9, 0.0))), mapOf("m1" to "big"),
@@ -240,13 +240,13 @@
         submit(2, 1)
         submit(3)
         submit(4, 3)
-        for (number in listOf(2, 4)) part.updateJob(table[id(number)]!!, inherited = true)
+        for (number in listOf(2, 4)) partition.updateJob(table[id(number)]!!, inherited = true)
         end(3)
-        part.updateJob(table[id(4)]!!, inherited = false)
+        partition.updateJob(table[id(4)]!!, inherited = false)
         assertEquals(
             listOf(0 to 2, 2 to 0),
             listOf(2, 4).map {
-                part.job(id(it))!!.let { held ->
+                partition.job(id(it))!!.let { held ->
                     held.pending.cardinality() to
                         held.doubtful.cardinality()
                 }
@@ -256,16 +256,16 @@
 
     @Test
     fun `lent urgency orders what waits`() {
-        val part = part(Aims(mapOf("k" to listOf(Aim.Deadline(1.0)))))
+        val partition = partition(Aims(mapOf("k" to listOf(Aim.Deadline(1.0)))))
         submit(1)
         submit(2)
         submit(3, 2, priority = Priority.HIGH, dueS = 60.0)
         submit(4, 3)
-        for (number in 1..4) part.updateJob(table[id(number)]!!, inherited = false)
-        assertEquals(listOf(id(2), id(1)), part.waitingInOrder(10_000).map { it.id })
-        assertEquals(Priority.HIGH, part.job(id(2))!!.spec.priority)
-        end(3, Final.CANCELLED).forEach { part.updateJob(table[it]!!, inherited = false) }
-        assertEquals(Priority.BEST_EFFORT, part.job(id(2))!!.spec.priority)
+        for (number in 1..4) partition.updateJob(table[id(number)]!!, inherited = false)
+        assertEquals(listOf(id(2), id(1)), partition.waitingInOrder(10_000).map { it.id })
+        assertEquals(Priority.HIGH, partition.job(id(2))!!.spec.priority)
+        end(3, Final.CANCELLED).forEach { partition.updateJob(table[it]!!, inherited = false) }
+        assertEquals(Priority.BEST_EFFORT, partition.job(id(2))!!.spec.priority)
     }
 
     private fun list(count: Int) = List(count) { "j-%06d".format(it * 37) }
@@ -296,7 +296,7 @@
                     read.changeAwaits(change.key, entry)
                 }
                 assertTrue(said.none { it.ready }, "not all has been read")
-                if (index == order.size - 1) assertEquals(list(900).toSet(), read[id(1)]!!.needs.ids)
+                if (index == order.size - 1) assertEquals(list(900).toSet(), read[id(1)]!!.dependencies.ids)
             }
             // Its end removes them, and does not depend on what they held.
             val ending = JobChanges.end(read[id(1)]!!, Final.CANCELLED, 7, limits)
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -6,9 +6,9 @@
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Candidates
-import io.otterknot.placement.PartChooser
-import io.otterknot.placement.PartJob
-import io.otterknot.placement.PartView
+import io.otterknot.placement.PartitionChooser
+import io.otterknot.placement.PartitionJob
+import io.otterknot.placement.PartitionView
 import io.otterknot.placement.Place
 import io.otterknot.placement.WaitOrder
 import io.otterknot.state.Job
@@ -123,23 +123,26 @@
     )
 
     private fun views(vararg means: Double) = means.mapIndexed { index, mean ->
-        PartView("z$index").also {
+        PartitionView("z$index").also {
             it.mean = mean
             it.cores = 64.0
         }
     }
 
     @Test
-    fun `parts are chosen like machines`() {
+    fun `partitions are chosen like machines`() {
         val announced = views(0.9, 0.1, 0.1).also { it[0].idleMachines = 1 }
-        assertEquals("z0", PartChooser.choose(announced, spec(1), Random(3)).zone)
+        assertEquals("z0", PartitionChooser.choose(announced, spec(1), Random(3)).zone)
         assertEquals(0, announced[0].idleMachines)
-        repeat(20) { assertEquals("z1", PartChooser.choose(views(0.9, 0.1), spec(1), Random(it)).zone) }
-        val spans = PartChooser.deal(spec(300), views(0.0, 0.0, 0.0), Random(5))
+        repeat(20) { assertEquals("z1", PartitionChooser.choose(views(0.9, 0.1), spec(1), Random(it)).zone) }
+        val spans = PartitionChooser.deal(spec(300), views(0.0, 0.0, 0.0), Random(5))
         assertEquals(300, spans.sumOf { it.until - it.from })
         assertTrue(spans.size == 3 && spans.all { it.until - it.from in 60..140 }, "$spans")
-        assertEquals(1, PartChooser.deal(spec(30, oneZone = true), views(0.0, 0.0), Random(1)).size)
-        assertEquals(listOf(Span("z1", 0, 30)), PartChooser.deal(spec(30, zone = "z1"), views(0.0, 0.0), Random(1)))
+        assertEquals(1, PartitionChooser.deal(spec(30, oneZone = true), views(0.0, 0.0), Random(1)).size)
+        assertEquals(
+            listOf(Span("z1", 0, 30)),
+            PartitionChooser.deal(spec(30, zone = "z1"), views(0.0, 0.0), Random(1)),
+        )
     }
 
     @Test
@@ -165,7 +168,7 @@
     }
 
     private fun waiting(spec: JobSpec, submittedMs: Long) =
-        PartJob(Job(spec.id).also { it.record = JobRecord(spec, submittedMs = submittedMs) }, spec, 0)
+        PartitionJob(Job(spec.id).also { it.record = JobRecord(spec, submittedMs = submittedMs) }, spec, 0)
 
     @ParameterizedTest
     @CsvSource("1,0", "9,1", "25,2", "53,2", "56,4", "70,4", "95,5")
--- a/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
+++ b/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
@@ -5,8 +5,8 @@
 import io.otterknot.ownership.OwnerTxn
 import io.otterknot.ownership.Ownership
 import io.otterknot.placement.Aims
-import io.otterknot.placement.Part
-import io.otterknot.placement.PartTimes
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionTimings
 import io.otterknot.state.Figures
 import io.otterknot.state.Keys
 import io.otterknot.state.PendingWrite
@@ -32,7 +32,9 @@
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.random.Random
 
-/** What follows when the state service refuses a value or a transaction for its size, although the settings allow it. */
+/**
+ * What follows when the state service refuses a value or a transaction for its size, although the settings allow it.
+ */
 @OptIn(ExperimentalCoroutinesApi::class)
 class WriteLimitsTest {
     private fun value(bytes: Int) = JsonPrimitive("x".repeat(bytes - 2))
@@ -116,30 +118,32 @@
     ) = runTest {
         val statuses = answers.split('|').dropLast(1).map { it.toIntOrNull() }
         val bench = bench { script(it, statuses) }
-        val parts = HashMap<String, Part>()
+        val partitions = HashMap<String, Partition>()
         val now = { testScheduler.currentTime }
         val ownership = Ownership(
             "n", listOf("a"), mapOf("n" to "a"), bench.client, bench.replica, 20_000, now, Random(1),
             machines = { emptySet() },
             onClaim = { _, _, _ -> },
-            onLoss = { parts.remove(it) },
+            onLoss = { partitions.remove(it) },
             mayClaim = { true },
         )
         val running = launch {
             launch { bench.replica.follow() }
             launch { ownership.keepLease() }
-            launch { ownership.claimParts() }
+            launch { ownership.claimPartitions() }
         }
 
         bench.replica.awaitLoaded()
         while (ownership.token("a") == null) kotlinx.coroutines.delay(50)
         val token = ownership.token("a")!!
-        val part = Part(
-            "a", token, 0, 0, PartTimes(10_000), Random(1), Aims(emptyMap()), { it }, { null }, emptyList(), emptyMap(),
+        val partition = Partition(
+            "a", token, 0, 0, PartitionTimings(10_000), Random(1), Aims(emptyMap()), {
+                it
+            }, { null }, emptyList(), emptyMap(),
         )
-        parts["a"] = part
-        val txn = OwnerTxn(bench.client, bench.replica, ownership, parts, WriteLimits(8_192, 40), Random(1))
-        val settled = txn.settle(part, 0, Change(put = Keys.job("j-1"), value = value(100)))
+        partitions["a"] = partition
+        val txn = OwnerTxn(bench.client, bench.replica, ownership, partitions, WriteLimits(8_192, 40), Random(1))
+        val settled = txn.settle(partition, 0, Change(put = Keys.job("j-1"), value = value(100)))
         assertEquals(expected, settled.name)
         kotlinx.coroutines.delay(2_000)
         val lost = expected == "PART_LOST"
