--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -408,7 +408,7 @@
         const val WITHDRAW = "/withdraw"
         const val SHARE = 0.92
         const val EVEN_REQUESTS = 0.7
-        const val EVEN_CHANGES = 0.4
+        const val EVEN_CHANGES = 0.7
         const val EVEN_CALLS = 0.25
         const val ISOLATED_MS = 3_500L
         const val SEEK_MS = 6_000L
--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -112,13 +112,13 @@
     }
 
     /**
-     * For background tasks: waits until so many changes are there, and for [lesser] ones until some are left besides.
+     * For background tasks: waits until so many changes are there and some are left for users, more of them for [lesser] tasks.
      */
     suspend fun takeSpare(changeCount: Int, lesser: Boolean = false) =
         (if (lesser) lowPriorityTasks else backgroundTasks).withLock {
             while (true) {
                 fill()
-                val reserve = if (lesser) changes.size * RESERVE else 0.0
+                val reserve = changes.size * (if (lesser) LESSER_RESERVE else RESERVE)
                 val wait = maxOf(requests.waitMs(1.0), changes.waitMs(minOf(changeCount + reserve, changes.size)))
                 if (wait == 0L) break
                 delay(wait)
@@ -126,6 +126,12 @@
             use(changeCount)
         }
 
+    /** Half of a burst is left: there is no need to save requests. */
+    val requestsAmple: Boolean get() {
+        fill()
+        return requests.level >= requests.size / 2
+    }
+
     /** How many changes a background task may make at once without waiting for more than a second's worth. */
     val most: Int get() {
         fill()
@@ -142,6 +148,9 @@
         val log: org.slf4j.Logger = LoggerFactory.getLogger(RateBudget::class.java)
         const val REFUSALS_MS = 10_000L
         const val BURST = 0.9
-        const val RESERVE = 0.4
+
+        /** The share of the changes that background tasks leave to users, and the less urgent ones to the others too. */
+        const val RESERVE = 0.25
+        const val LESSER_RESERVE = 0.4
     }
 }
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -72,8 +72,7 @@
                     apply(outcome.events.events)
                     if (outcome.events.revision > reached.value) reached.value = outcome.events.revision
                     onBatch()
-                    // Changes that come close together are fetched together: each new watch counts as a request.
-                    delay(pauseMs)
+                    pauseBetweenWatches()
                 }
 
                 WatchOutcome.TooOld -> {
@@ -89,6 +88,19 @@
         }
     }
 
+    /**
+     * Changes that come close together are fetched together, since each new watch counts as a request. What somebody
+     * waits for is fetched at once while requests are ample.
+     */
+    private suspend fun pauseBetweenWatches() {
+        withTimeoutOrNull(pauseMs) {
+            do awaited.receive() while (!client.budget.requestsAmple)
+        }
+    }
+
+    /** Somebody waits for a revision that this copy has not reached. */
+    private val awaited = Channel<Unit>(Channel.CONFLATED)
+
     /**
      * Changes that the store is known to hold do not come: the watch is given up and opened anew, on whatever way is
      * good now.
@@ -154,8 +166,11 @@
         }
     }
 
-    suspend fun reach(revision: Long, timeoutMs: Long): Boolean =
-        withTimeoutOrNull(timeoutMs) { reached.first { it >= revision } } != null
+    /** Waits until this copy holds all changes up to [revision]; false if it does not in time. */
+    suspend fun reach(revision: Long, timeoutMs: Long): Boolean {
+        if (reached.value < revision) awaited.trySend(Unit)
+        return withTimeoutOrNull(timeoutMs) { reached.first { it >= revision } } != null
+    }
 
     /**
      * Waits until this copy holds everything that was in the store when the call began. One read serves all that
@@ -196,7 +211,8 @@
                 val caughtUp = target != null && reach(target, BARRIER_MS)
                 if (target != null && !caughtUp) reopen()
                 served.forEach { it.complete(caughtUp) }
-                delay(pauseMs)
+                // Reads that come close together are served together, unless requests are ample.
+                delay(if (client.budget.requestsAmple) pauseMs / AMPLE_PAUSE_SHARE else pauseMs)
             }
         }
     }
@@ -204,5 +220,8 @@
     private companion object {
         const val WATCH_MS = 5_000L
         const val BARRIER_MS = 1_200L
+
+        /** How many times shorter the pause between barriers is while requests are ample. */
+        const val AMPLE_PAUSE_SHARE = 8
     }
 }
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -101,6 +101,18 @@
         }
     }
 
+    /** Users come in bursts: what background tasks do at any time must not make the first of them wait. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `background tasks leave some changes to users`() = runTest {
+        val budget = RateBudget(1_000.0, 10.0, { testScheduler.currentTime })
+        repeat(3) { launch { while (currentTime < 20_000) budget.takeSpare(2) } }
+        repeat(10) {
+            delay(1_500)
+            assertTrue(budget.tryTake(1, 0) && budget.tryTake(1, 0), "round $it")
+        }
+    }
+
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
     fun `a share that grows brings more and one that shrinks less, never a burst beyond it`() = runTest {
--- a/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
@@ -123,6 +123,18 @@
                 cancel(job(4_000, 1, 30.0))
                 delay(5_000)
             },
+            Case("a fan of five hundred, and layers that share their ancestors, cancelled in the middle", seeds = 1) {
+                user(job(10_000, 1, 8.0))
+                for (at in 1..500) user(job(10_000 + at, 1, 0.5, 10_000))
+                // Each job of a layer awaits all of the layer before it.
+                for (layer in 0..5) {
+                    val before = if (layer == 0) IntArray(0) else IntArray(6) { 20_000 + (layer - 1) * 10 + it }
+                    for (at in 0..5) user(job(20_000 + layer * 10 + at, 1, 3.0, *before, last = layer == 5))
+                }
+                delay(25_000)
+                cancel(job(20_023, 1, 3.0, *IntArray(6) { 20_010 + it }))
+                delay(5_000)
+            },
             Case("pipelines while controllers crash and transactions come late") {
                 state.lateWrites = 0.2
                 scope.launch { pipelines(6, 4_000) }
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -3,6 +3,7 @@
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionJob
 import io.otterknot.placement.PartitionTimings
 import io.otterknot.placement.TeamShare
 import io.otterknot.state.Amount
@@ -255,7 +256,19 @@
     }
 
     @Test
-    fun `lent urgency orders what waits`() {
+    fun `waits are measured from the end of what was awaited, due times from the submission`() {
+        val aims = Aims(mapOf("k" to listOf(Aim.Started(10.0, 0.9), Aim.Deadline(1.0))))
+        submit(1)
+        submit(2, 1, dueS = 50.0)
+        end(1)
+        val waiting = table[id(2)]!!.let { PartitionJob(it, it.spec!!, 0) }
+        // Due 52 s after the epoch, less 6 s for the estimated run; ready at 100.001 s.
+        val missed = listOf(45_000L, 47_000L, 110_000L, 110_002L).map { aims.missed(waiting, it) }
+        assertEquals(listOf(0, 1, 1, 2), missed)
+    }
+
+    @Test
+    fun `inherited urgency orders what waits`() {
         val partition = partition(Aims(mapOf("k" to listOf(Aim.Deadline(1.0)))))
         submit(1)
         submit(2)
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/ReplicaTest.kt
@@ -0,0 +1,64 @@
+package io.otterknot
+
+import io.otterknot.http.Transport
+import io.otterknot.state.Figures
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.wire.Change
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonPrimitive
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.random.Random
+
+/** How long a reader waits for the replica, and what that costs in requests. */
+class ReplicaTest {
+    /**
+     * Readers come every 100 ms, and something is written before each: while requests are ample none waits for the
+     * pause between two watches; while they are scarce, the pauses keep the node within its share (and the burst of one second).
+     */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @ParameterizedTest
+    @CsvSource("200,40,0", "12,2000,15")
+    fun `what is waited for is fetched at once while requests are ample`(perS: Double, mostMs: Long, mostPerS: Int) =
+        runTest {
+            val now = { testScheduler.currentTime }
+            val state = StateStandIn(this, Random(1), now)
+            val writer = StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
+            var requests = 0
+            val link = state.link("n")
+            val counted = Transport { method, target, body, timeoutMs ->
+                requests++
+                link.call(method, target, body, timeoutMs)
+            }
+            val client = StateClient(counted, counted, RateBudget(perS, 100.0, now), Figures(now))
+            val replica = Replica(client, Random(1), now, pauseMs = 250)
+            val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
+            replica.awaitLoaded()
+            delay(1_000)
+            val began = currentTime
+            val before = requests
+            val waits = ArrayList<Long>()
+            repeat(40) {
+                writer.txn(emptyList(), listOf(Change(put = "o/x/a", value = JsonPrimitive(it))))
+                launch {
+                    val entered = currentTime
+                    replica.upToDate(5_000)
+                    waits.add(currentTime - entered)
+                }
+                delay(100)
+            }
+            val seconds = (currentTime - began) / 1000.0
+            if (mostPerS > 0) assertTrue((requests - before) / seconds <= mostPerS, "${requests - before} requests")
+            while (waits.size < 40) delay(50)
+            assertEquals(emptyList<Long>(), waits.filter { it > mostMs })
+            background.forEach { it.cancel() }
+        }
+}
