--- a/src/main/kotlin/io/otterknot/state/RateBudget.kt
+++ b/src/main/kotlin/io/otterknot/state/RateBudget.kt
@@ -40,12 +40,9 @@
             filledAt = now
         }
 
-        fun waitMs(wanted: Double = 0.0): Long = if (level >=
-            wanted
-        ) {
-            0
-        } else {
-            ((wanted - level) * 1000.0 / perS).toLong() + 1
+        fun waitMs(wanted: Double = 0.0): Long {
+            if (level >= wanted) return 0
+            return ((wanted - level) * 1000.0 / perS).toLong() + 1
         }
     }
 
@@ -57,30 +54,63 @@
     private fun fill() {
         val now = nowMs()
         val share = share()
-        requests.fill(now, share.requests)
-        changes.fill(now, share.changes)
+        val throttle = throttle.at(now)
+        requests.fill(now, share.requests * throttle)
+        changes.fill(now, share.changes * throttle)
     }
 
+    private val throttle = Throttle()
     private var refusedMs = Long.MIN_VALUE / 2
     private var lowered = false
+    private var loweredMs = Long.MIN_VALUE / 2
 
     /**
-     * The service has refused a request for its rate. Once may be another node's doing; the lower limits then hold for
-     * good.
+     * The service has refused a request for its rate. Once may be another node's doing; when it happens again soon, the
+     * lower limits hold for good, and if they are not it, the node uses less of them for a while.
      */
     fun refused() {
         val now = nowMs()
-        if (later != null && !lowered && now - refusedMs < REFUSALS_MS) {
-            lowered = true
-            requests.wholePerS = later.requestsPerS
-            changes.wholePerS = later.changesPerS
-            log.info(
-                "requests are refused for their rate: from now on {} requests and {} changes a second",
-                later.requestsPerS,
-                later.changesPerS,
-            )
-        }
+        val again = now - refusedMs < REFUSALS_MS
         refusedMs = now
+        if (!again) return
+        if (later == null || lowered) {
+            // Other nodes may not have noticed the lower limits yet.
+            if (now - loweredMs >= REFUSALS_MS) throttle.refused(now)
+            return
+        }
+        lowered = true
+        loweredMs = now
+        requests.wholePerS = later.requestsPerS
+        changes.wholePerS = later.changesPerS
+        log.info(
+            "requests are refused for their rate: from now on {} requests and {} changes a second",
+            later.requestsPerS,
+            later.changesPerS,
+        )
+    }
+
+    /** The share of the known limits that is used: less with each refusal that they do not explain, more with time. */
+    private class Throttle {
+        private var share = 1.0
+        private var changedMs = Long.MIN_VALUE / 2
+
+        fun refused(now: Long) {
+            if (now - changedMs < DECREASE_EVERY_MS) return
+            share = maxOf(LEAST, at(now) * DECREASE)
+            changedMs = now
+        }
+
+        fun at(now: Long): Double = minOf(1.0, share + maxOf(0L, now - changedMs - RECOVER_AFTER_MS) * RECOVER_PER_MS)
+
+        private companion object {
+            const val LEAST = 0.2
+            const val DECREASE = 0.8
+            const val DECREASE_EVERY_MS = 2_000L
+            const val RECOVER_AFTER_MS = 10_000L
+
+            /** A tenth in ten seconds. */
+            const val RECOVER_PER_MS = 1e-5
+        }
     }
 
     private fun use(changeCount: Int, requestCount: Int = 1) {
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -53,7 +53,7 @@
         budget.take()
         figures.count("lists")
         val from = if (after == null) "" else "&After=$after"
-        return decode(StoredPage.serializer(), http.call("GET", "/store?Under=$prefix$from&Page=200", null, LIST_MS))
+        return decode(StoredPage.serializer(), call(http, "GET", "/store?Under=$prefix$from&Page=200", null, LIST_MS))
     }
 
     /** The revision that the service has reached, read from an absent key; null if it does not say. */
@@ -70,7 +70,7 @@
 
     private suspend fun readRevision(): Long? {
         figures.count("barrier reads")
-        val reply = http.call("GET", "/store/o/none", null, READ_MS)
+        val reply = call(http, "GET", "/store/o/none", null, READ_MS)
         if (reply !is Reply.Answer || reply.status != 404) return null
         return parse(Revision.serializer(), reply)?.revision
     }
@@ -80,7 +80,7 @@
         figures.count("transactions")
         figures.count("changes", changes.size)
         val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
-        return when (val reply = http.call("POST", "/txn", body, TXN_MS)) {
+        return when (val reply = call(http, "POST", "/txn", body, TXN_MS)) {
             is Reply.None -> TxnOutcome.Unknown(reply.why)
 
             is Reply.Answer -> when (reply.status) {
@@ -90,7 +90,7 @@
                 409 -> parse(Revision.serializer(), reply)?.let { TxnOutcome.Conflict(it.failed, it.revision) }
                     ?: TxnOutcome.Unknown("unreadable answer")
 
-                400, 429, 503 -> TxnOutcome.Refused(reply.status).also { if (reply.status == 429) budget.refused() }
+                400, 429, 503 -> TxnOutcome.Refused(reply.status)
 
                 else -> TxnOutcome.Unknown("status ${reply.status}")
             }
@@ -100,13 +100,13 @@
     suspend fun grantLease(ttlMs: Long): Long? {
         budget.takeAtOnce()
         val body = WireJson.encodeToString(LeaseRequest.serializer(), LeaseRequest(ttlMs)).encodeToByteArray()
-        return decode(LeaseGrant.serializer(), http.call("POST", "/holds", body, GRANT_MS))?.lease
+        return decode(LeaseGrant.serializer(), call(http, "POST", "/holds", body, GRANT_MS))?.lease
     }
 
     suspend fun renewLease(lease: Long): RenewOutcome {
         budget.takeAtOnce()
         figures.count("renewals")
-        val reply = http.call("POST", "/holds/$lease/extend", EMPTY, RENEW_MS)
+        val reply = call(http, "POST", "/holds/$lease/extend", EMPTY, RENEW_MS)
         return when ((reply as? Reply.Answer)?.status) {
             200 -> RenewOutcome.Renewed
             404 -> RenewOutcome.Gone
@@ -117,7 +117,8 @@
     suspend fun watch(prefix: String, after: Long, waitMs: Long): WatchOutcome {
         budget.take()
         figures.count("watches")
-        val reply = watchHttp.call(
+        val reply = call(
+            watchHttp,
             "GET",
             "/watch?Under=$prefix&After=$after&WaitMs=$waitMs",
             null,
@@ -136,6 +137,18 @@
         }
     }
 
+    private suspend fun call(
+        link: Transport,
+        method: String,
+        target: String,
+        body: ByteArray?,
+        timeoutMs: Long,
+    ): Reply {
+        val reply = link.call(method, target, body, timeoutMs)
+        if (reply is Reply.Answer && reply.status == TOO_MANY_REQUESTS) budget.refused()
+        return reply
+    }
+
     private fun <T> decode(serializer: KSerializer<T>, reply: Reply): T? =
         if (reply is Reply.Answer && reply.status == 200) parse(serializer, reply) else null
 
@@ -147,6 +160,7 @@
 
     private companion object {
         val EMPTY = ByteArray(0)
+        const val TOO_MANY_REQUESTS = 429
         const val LIST_MS = 10_000L
         const val READ_MS = 1_500L
         const val TXN_MS = 2_500L
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -308,6 +308,33 @@
         )
     }
 
+    /** A limit that nobody told of: less and less is asked until nothing is refused, and more again in time. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `refusals that the known limits do not explain make a node slow down for a while`() = runTest {
+        val budget = RateBudget(100.0, 10.0, { testScheduler.currentTime }, later = RateBudget.Limits(100.0, 10.0))
+        suspend fun secondsFor(changes: Int): Long {
+            val before = currentTime
+            repeat(changes) { budget.takeSpare(1) }
+            return (currentTime - before) / 1000
+        }
+        secondsFor(10)
+        repeat(2) { budget.refused() }
+        budget.refused()
+        secondsFor(10)
+        assertEquals(2, secondsFor(20), "others may not have noticed yet")
+        delay(9_000)
+        repeat(6) {
+            budget.refused()
+            delay(2_100)
+        }
+        secondsFor(10)
+        assertTrue(secondsFor(20) in 4..7, "about 0.4 of the rate is left")
+        delay(90_000)
+        secondsFor(10)
+        assertEquals(2, secondsFor(20))
+    }
+
     /** One refusal may be another node's doing; the second says that the limits are lower now. */
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
--- a/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineCaseTest.kt
@@ -253,6 +253,26 @@
                 state.lateWrites = 0.0
                 copies = 0.0
             },
+            Case("old and new versions by turns, back within a second, with late transactions, handovers and copies") {
+                old.addAll(nodes)
+                nodes.forEach(::restart)
+                state.lateWrites = 0.2
+                copies = 0.1
+                for (id in 301..312) user(spec(id, 12, 6.0))
+                repeat(12) {
+                    val node = nodes[it % 3]
+                    crash(node)
+                    if (!old.remove(node)) old.add(node)
+                    delay(200 + random.nextLong(700))
+                    startNode(node)
+                    delay(2_500)
+                }
+                old.clear()
+                nodes.forEach(::restart)
+                state.lateWrites = 0.0
+                copies = 0.0
+                pipelines(3)
+            },
             Case(
                 "ten changes of owner between old and new, in both directions, with an outage and a team at its limit",
                 teamLimit = 16.0,
