--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -21,12 +21,12 @@
 import io.otterknot.peer.PeerMessage
 import io.otterknot.peer.PeerRelay
 import io.otterknot.peer.PeerTransport
-import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Partition
 import io.otterknot.placement.PartitionTimings
 import io.otterknot.placement.PartitionView
 import io.otterknot.placement.TeamShare
+import io.otterknot.placement.aimsByKind
 import io.otterknot.state.Amount
 import io.otterknot.state.Contact
 import io.otterknot.state.Entry
@@ -94,10 +94,11 @@
     private val limits = WriteLimits((facts.state.leastValueKb * 1024).toInt(), facts.state.leastTxnOps)
     private val partitions = LinkedHashMap<String, Partition>()
     private val domains = settings.members.associate { it.label to it.domain } + (settings.label to settings.domain)
+    private val machines = RegisteredMachines(replica)
     private val ownership: Ownership = Ownership(
         settings.label, zones, domains, state, replica,
         leaseTtlMs(facts.workers.leaseS, facts.workers.cancelS), nowMs, random,
-        machines = { registered(it).keys },
+        machines = { machines.of(it).keys },
         onClaim = { zone, token, overriding -> claimed += Claim(zone, token, overriding) },
         onLoss = { partitions.remove(it) },
         mayClaim = { fleet.types != null },
@@ -110,11 +111,7 @@
         RateBudget(facts.cloud.rps, 1.0, nowMs, { RateBudget.Share(share(EVEN_CALLS), 1.0) }),
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
-    private val aims = Aims(
-        facts.objectives.filter {
-            it.jobKind != null
-        }.groupBy({ it.jobKind.orEmpty() }, ::aim).mapValues { it.value.filterNotNull() },
-    )
+    private val aims = Aims(aimsByKind(facts.objectives))
     private val fleet: Fleet = Fleet(
         cloud, ownership, partitions,
         FleetPolicy(), aims,
@@ -139,6 +136,8 @@
         Allotments(ownerTxn, replica, ownership, partitions, views, limits, facts.teams, zones, random)
     private val handover = Handover(ownerTxn, ownership, partitions, views, ::offers, limits, nowMs, wallMs, random)
     private val reports = ReportEndpoint(settings.label, ownership, partitions, nowMs)
+    private val router = RequestRouter(users, reports)
+    private val dispatcher = ReplicaDispatcher(jobs, partitions, machines, ownership, fleet, allotments, views)
     private val idlePartitions = IdlePartitions(views) { contact.sound }
     private val announcer = Announcer(settings.label, idlePartitions, links.peers, partitions, nowMs, random)
 
@@ -150,7 +149,7 @@
 
     /** Runs until cancelled. */
     suspend fun run() = coroutineScope {
-        replica.onChange = ::changed
+        replica.onChange = dispatcher::changed
         replica.onBatch = ::takeUpClaims
         backgroundTask("contact") { stateLink.probe() }
         backgroundTask("replica") { replica.follow() }
@@ -220,24 +219,9 @@
 
     /** Asks the state service for another controller, which has taken the request out of its own share. */
     private suspend fun carry(message: PeerMessage.Carry): PeerMessage {
-        val reply = if (contact.sound) {
-            links.state.call(
-                message.method,
-                message.target,
-                message.body,
-                message.timeoutMs.toLong(),
-            )
-        } else {
-            null
-        }
-        return if (reply is Reply.Answer) {
-            PeerMessage.Carried(
-                reply.status,
-                reply.body,
-            )
-        } else {
-            PeerMessage.Carried(0, ByteArray(0))
-        }
+        if (!contact.sound) return NOT_CARRIED
+        val reply = links.state.call(message.method, message.target, message.body, message.timeoutMs.toLong())
+        return if (reply is Reply.Answer) PeerMessage.Carried(reply.status, reply.body) else NOT_CARRIED
     }
 
     /**
@@ -250,86 +234,7 @@
     suspend fun loaded() = replica.awaitLoaded()
 
     /** Answers a request of a user, a worker or the load balancer. */
-    suspend fun route(request: HttpRequest): HttpResponse {
-        val path = request.path
-        return when {
-            path == "/v1/report" -> method(request, "POST") { reports.handle(request.body) }
-
-            path == "/ready" -> method(request, "GET") { users.ready() }
-
-            path == "/submissions" -> method(request, "POST") { users.submit(request.body) }
-
-            path.startsWith(JOB_PATH) && path.endsWith(WITHDRAW) && path.length > JOB_PATH.length + WITHDRAW.length ->
-                method(request, "POST") {
-                    users.withdraw(path.substring(JOB_PATH.length, path.length - WITHDRAW.length))
-                }
-
-            path.startsWith(JOB_PATH) && path.indexOf('/', JOB_PATH.length) < 0 ->
-                method(request, "GET") { users.poll(path.substring(JOB_PATH.length)) }
-
-            else -> HttpResponse.refusal(404, "no such path")
-        }
-    }
-
-    private suspend fun method(request: HttpRequest, allowed: String, serve: suspend () -> HttpResponse): HttpResponse =
-        if (request.method == allowed) serve() else HttpResponse.refusal(405, "only $allowed", allow = allowed)
-
-    private fun changed(key: String, entry: Entry?) {
-        when {
-            key.startsWith(Keys.JOBS) -> {
-                val changed = jobs.changeJob(key, entry)
-                partitions.values.forEach { partition ->
-                    changed.forEach { partition.updateJob(it, inherited = false) }
-                }
-            }
-
-            key.startsWith(Keys.AWAITS) -> {
-                val changed = jobs.changeAwaits(key, entry)
-                partitions.values.forEach { partition ->
-                    changed.forEach { partition.updateJob(it, inherited = false) }
-                }
-            }
-
-            key.startsWith(Keys.DONE) -> for (job in jobs.changeDone(key, entry)) {
-                partitions.values.forEach {
-                    it.updateDone(job)
-                }
-            }
-
-            key.startsWith(Keys.MACHINES) -> {
-                val zone = key.substring(Keys.MACHINES.length).substringBefore('/')
-                registered.remove(zone)
-                partitions[zone]?.registeredNow(registered(zone).keys)
-            }
-
-            key.startsWith(
-                Keys.PARTITIONS,
-            ) -> ownership.partitionChanged(key.substring(Keys.PARTITIONS.length), entry?.version)
-
-            key.startsWith(Keys.OVERRIDES) -> ownership.overrideChanged(
-                key.substring(Keys.OVERRIDES.length),
-                entry != null,
-            )
-
-            key == Keys.TYPES -> if (entry !=
-                null
-            ) {
-                fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
-            }
-
-            key.startsWith(Keys.ALLOTMENTS) -> allotments.changed(key.substring(Keys.ALLOTMENTS.length))
-
-            key.startsWith(Keys.MEANS) -> {
-                val view = views[key.substring(Keys.MEANS.length)] ?: return
-                val mean = if (entry == null) MeanRecord(0.0) else decodeRecord(MeanRecord.serializer(), entry.value)
-                view.mean = mean.mean
-                view.cores = mean.cores
-                view.needs = mean.needs
-                view.ordinaryMean = mean.ordinaryMean
-                view.ordinaryCores = mean.ordinaryCores
-            }
-        }
-    }
+    suspend fun route(request: HttpRequest): HttpResponse = router.route(request)
 
     /** Keeps what the cloud offers for controllers that start while it is away; prices alone are no reason to write. */
     private suspend fun rememberTypes(offered: List<MachineType>) {
@@ -358,44 +263,27 @@
             val zone = claim.zone
             val token = claim.token
             if (ownership.claimed(zone) != token) continue
-            val registered = registered(zone)
-            val now = nowMs()
-            val partition =
-                Partition(
-                    zone, token, now,
-                    ownership.othersUntilMs(
-                        zone,
-                        claim.overriding,
-                    ),
-                    PartitionTimings(leaseMs), random, aims, {
-                        wallMs() -
-                            nowMs() +
-                            it
-                    }, fleet::type, teamShares(zone), registered,
-                )
+            val registered = machines.of(zone)
+            val wallAhead = { wallMs() - nowMs() }
+            val partition = Partition(
+                zone = zone,
+                token = token,
+                claimedMs = nowMs(),
+                othersUntilMs = ownership.othersUntilMs(zone, claim.overriding),
+                times = PartitionTimings(leaseMs),
+                random = random,
+                aims = aims,
+                wallOf = { it + wallAhead() },
+                typeOf = fleet::type,
+                teamShares = teamShares(zone),
+                registeredMachines = registered,
+            )
             jobs.live.values.forEach { partition.updateJob(it, inherited = true) }
             partitions[zone] = partition
             log.info("{}: taken up with {} jobs and {} registered machines", zone, partition.jobs.size, registered.size)
         }
     }
 
-    /** The machines that may hold tasks of a partition, with their types. */
-    private fun registered(zone: String): Map<String, String> = registered.getOrPut(zone) {
-        val types = HashMap<String, String>()
-        replica.machineSegments(zone).values.forEach(types::putAll)
-        types
-    }
-
-    /** As last read from the replica, until that changes. */
-    private val registered = HashMap<String, Map<String, String>>()
-
-    private fun aim(objective: Objective): Aim? = when (objective.kind) {
-        "wait" -> objective.withinS?.let { Aim.Started(it, objective.share ?: 0.5) }
-        "finished" -> objective.withinS?.let(Aim::Finished)
-        "deadline" -> Aim.Deadline(objective.times ?: 1.0)
-        else -> null
-    }
-
     private fun offers(zone: String, spec: JobSpec): Boolean =
         fleet.types.orEmpty().any { zone in it.zones && (spec.types == null || it.name in spec.types) }
 
@@ -404,8 +292,9 @@
     }
 
     private companion object {
-        const val JOB_PATH = "/submissions/"
-        const val WITHDRAW = "/withdraw"
+        val NOT_CARRIED = PeerMessage.Carried(0, ByteArray(0))
+
+        /** What all nodes together use of a limit; the rest is left for clocks that differ. */
         const val SHARE = 0.92
         const val EVEN_REQUESTS = 0.7
         const val EVEN_CHANGES = 0.7
--- a/src/main/kotlin/io/otterknot/placement/Aims.kt
+++ b/src/main/kotlin/io/otterknot/placement/Aims.kt
@@ -1,5 +1,6 @@
 package io.otterknot.placement
 
+import io.otterknot.config.Objective
 import io.otterknot.wire.JobSpec
 
 /** One aim on a class of jobs: started or finished this long after the submission, or by so many times the deadline. */
@@ -9,6 +10,21 @@
     data class Deadline(val times: Double) : Aim
 }
 
+/** The aims on each class among the operators' objectives; other kinds of objectives are left out. */
+fun aimsByKind(objectives: List<Objective>): Map<String, List<Aim>> = objectives
+    .filter { it.jobKind != null }
+    .groupBy { it.jobKind.orEmpty() }
+    .mapValues { (_, ofKind) -> ofKind.mapNotNull(::aim) }
+
+private fun aim(objective: Objective): Aim? = when (objective.kind) {
+    "wait" -> objective.withinS?.let { Aim.Started(it, objective.share ?: DEFAULT_SHARE) }
+    "finished" -> objective.withinS?.let(Aim::Finished)
+    "deadline" -> Aim.Deadline(objective.times ?: 1.0)
+    else -> null
+}
+
+private const val DEFAULT_SHARE = 0.5
+
 /**
  * The operators' aims by class of job. When more is asked than can be done, serving in order of arrival would make
  * every job late; what a job has missed, and what it is about to miss, say when it is served.
--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -65,7 +65,6 @@
     private val machineList get() = machineByName.all
     private val jobByName = Dense<PartitionJob> { it.id }
     private val jobList get() = jobByName.all
-    private var attempts = 0L
 
     /** Machines that an earlier owner had registered and that have not shown [token] yet. */
     private val unreconciled = UnreconciledMachines(registeredMachines, typeOf)
@@ -78,6 +77,8 @@
     private val withUnknownTasks = UnreconciledMachines(emptyMap(), typeOf)
     private val teams = TeamLedger(teamShares, ::unknownAmount)
 
+    private val attempts: AttemptLedger = AttemptLedger(token, teams) { scheduler.invalidate() }
+
     /** What the machines and jobs of this partition add up to. */
     val load = PartitionLoad({ machineList }, { jobList }, teams)
 
@@ -91,7 +92,7 @@
     var settled = false
         private set
 
-    private val ledger = object : Ledger {
+    private val ledger: Ledger = object : Ledger {
         override val machines get() = machineList
         override val jobs get() = jobList
         override fun startable(job: PartitionJob) = this@Partition.startable(job)
@@ -99,20 +100,14 @@
         override fun book(job: PartitionJob, machine: Machine, now: Long): Attempt {
             val task = job.pending.nextSetBit(0)
             job.pending.clear(task)
-            return this@Partition.book(machine, job, task, nextAttempt(), Phase.BOOKED, now)
+            return attempts.book(machine, job, task, attempts.nextId(), Phase.BOOKED, now)
         }
 
-        override fun stop(attempt: Attempt) {
-            if (attempt.phase == Phase.BOOKED) {
-                release(attempt)
-                requeue(attempt)
-            } else {
-                attempt.halt()
-            }
-        }
+        override fun stop(attempt: Attempt) = attempts.stop(attempt)
     }
-    private val scheduler = Scheduler(ledger, aims, wallOf, random)
+    private val scheduler: Scheduler = Scheduler(ledger, aims, wallOf, random)
     private val slowTasks = SlowTaskDetector(zone)
+    private val reconciler = ReportReconciler(zone, attempts, ::job, slowTasks)
 
     val machines: List<Machine> get() = machineList
     val jobs: List<PartitionJob> get() = jobList
@@ -205,7 +200,7 @@
         scheduler.order.invalidate()
         for (attempt in held.active.values.toList()) {
             // What was only booked has never been sent, so it is free at once; the rest is told to stop.
-            if (attempt.phase == Phase.BOOKED) release(attempt) else attempt.halt()
+            if (attempt.phase == Phase.BOOKED) attempts.release(attempt) else attempt.halt()
         }
     }
 
@@ -258,7 +253,7 @@
         withUnknownTasks.remove(id)
         hungWithEndedJobs.remove(id)
         val machine = machine(id) ?: return
-        forgetAll(machine)
+        attempts.releaseAll(machine)
         lastSeen.note(id, machine.session, machine.seq)
         machineByName.remove(id)
     }
@@ -295,13 +290,6 @@
      */
     fun unreachable(): List<String> = machineList.filter { it.lostAnswers >= UNREACHABLE }.map { it.id }
 
-    private fun forgetAll(machine: Machine) {
-        for (attempt in machine.attempts.values.toList()) {
-            release(attempt)
-            requeue(attempt)
-        }
-    }
-
     /**
      * Looks for machines whose lease is surely over, and for doubts that time has settled; places what waits. Where
      * this node itself has been [slow], its answers come too late for the workers, and no machine is to blame.
@@ -325,7 +313,7 @@
                     hungWithEndedJobs.add(machine.id)
                 }
                 withUnknownTasks.remove(machine.id)
-                forgetAll(machine)
+                attempts.releaseAll(machine)
             }
             if (slow) machine.lostAnswers = 0
             if (!machine.silent) slowTasks.stopStragglers(machine, now)
@@ -375,7 +363,7 @@
             // The worker has killed and forgotten everything of its earlier sessions. If its reports came all the
             // while, it was the answers that did not.
             if (known != null && now - machine.heardMs < times.leaseMs / 2) machine.lostAnswers += 2
-            forgetAll(machine)
+            attempts.releaseAll(machine)
             machine.session = report.session
         }
         machine.seq = report.seq
@@ -394,16 +382,16 @@
         machine.noticed = report.noticeS != null
         if (machine.noticed) machine.draining = true
         val commands = ArrayList<Command>()
-        for (entry in report.tasks) reconcile(machine, entry, report.seq, now, commands)
-        compareSent(machine)
+        for (entry in report.tasks) reconciler.reconcile(machine, entry, report.seq, now, commands)
+        reconciler.compareSent(machine)
         val strange = report.tasks.any { it.state != TaskState.EXITED && !machine.attempts.containsKey(it.attempt) }
         if (strange) withUnknownTasks.add(machine.id, machine.type.name) else withUnknownTasks.remove(machine.id)
         machine.strange = strange
-        report.noticeS?.let { leave(machine, it, now) }
+        report.noticeS?.let { reconciler.leave(machine, it, now) }
         if (unreconciled.remove(machine.id)) settle(now)
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.usable)
         if (machine.deaf) probe(machine, now) else scheduler.placeOn(machine, now)
-        addCommands(machine, now, commands)
+        reconciler.addCommands(machine, now, commands)
         return ReportDecision.Answer(token, commands)
     }
 
@@ -425,37 +413,6 @@
         }
     }
 
-    /**
-     * What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always
-     * will.
-     */
-    private fun compareSent(machine: Machine) {
-        var lost = false
-        if (machine.attempts.isNotEmpty()) {
-            for (attempt in machine.attempts.values.toList()) {
-                if (attempt.shownSeq == machine.seq || attempt.phase == Phase.BOOKED) continue
-                lost = lost || attempt.phase == Phase.SENT
-                release(attempt)
-                requeue(attempt)
-            }
-        }
-        if (lost) machine.lostAnswers++
-    }
-
-    /**
-     * The cloud takes the machine in [noticeS]. What cannot end before that begins elsewhere at once: waiting for its
-     * loss would cost it the time of the notice besides, and a deadline leaves little more than that.
-     */
-    private fun leave(machine: Machine, noticeS: Double, now: Long) {
-        for (attempt in machine.attempts.values.toList()) {
-            if (attempt.phase == Phase.BOOKED) {
-                ledger.stop(attempt)
-            } else if (attempt.phase != Phase.SAVING && attempt.expectedMs(now) > noticeS * 1000) {
-                attempt.halt()
-            }
-        }
-    }
-
     private fun probe(machine: Machine, now: Long) {
         val idle = machine.attempts.isEmpty() && machine.reconciled && machine.registered && machine.serving
         if (!idle || now - machine.probedMs < PROBE_MS) return
@@ -463,163 +420,6 @@
         scheduler.probe(machine, now)
     }
 
-    private fun addCommands(machine: Machine, now: Long, commands: MutableList<Command>) {
-        for (attempt in machine.attempts.values) {
-            when {
-                attempt.halting && attempt.phase != Phase.BOOKED -> {
-                    val saves = attempt.job.spec.checkpointS > 0 && !attempt.job.over && !attempt.haltSent
-                    commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
-                    attempt.haltSent = true
-                }
-
-                attempt.phase == Phase.BOOKED -> {
-                    attempt.phase = Phase.SENT
-                    attempt.started = true
-                    attempt.since = now
-                    commands.add(Command.start(attempt.name, attempt.id))
-                }
-            }
-        }
-    }
-
-    private fun reconcile(machine: Machine, entry: TaskReport, seq: Long, now: Long, commands: MutableList<Command>) {
-        val exited = entry.state == TaskState.EXITED
-        val known = machine.attempts.get(entry.attempt)
-        if (known != null && known.phase == Phase.SENT) machine.lostAnswers = 0
-        val number = known?.task ?: TaskName.parse(entry.task).number
-        val held = known?.job ?: job(entry.task.substringBefore('/'))
-        if (held == null || (held.over && exited)) {
-            // The job is over, or its task is none of ours.
-            known?.let(::release)
-            commands.add(
-                if (exited) Command.forget(entry.task, entry.attempt) else Command.halt(entry.task, entry.attempt, 0.0),
-            )
-            return
-        }
-        if (exited) {
-            known?.let(::release)
-            exited(machine, held, number, entry, known, now, commands)
-            return
-        }
-        val attempt = known ?: adopt(machine, held, number, entry, now)
-        if (attempt == null) {
-            commands.add(Command.halt(entry.task, entry.attempt, 0.0))
-            return
-        }
-        attempt.shownSeq = seq
-        val phase = when (entry.state) {
-            TaskState.FETCHING -> Phase.FETCHING
-            TaskState.SAVING -> Phase.SAVING
-            else -> Phase.RUNNING
-        }
-        if (phase != attempt.phase) {
-            if (phase == Phase.RUNNING) {
-                // Only of a task that was seen to fetch or to be sent is it known how long it has run.
-                attempt.ran = attempt.phase != Phase.SENT || attempt.started
-                attempt.since = now
-                held.begun = true
-            }
-            machine.uses(held.spec)
-            attempt.phase = phase
-        }
-    }
-
-    private fun exited(
-        machine: Machine,
-        held: PartitionJob,
-        task: Int,
-        entry: TaskReport,
-        known: Attempt?,
-        now: Long,
-        commands: MutableList<Command>,
-    ) {
-        if (entry.cause == ExitCause.DONE) {
-            // `forget` only once the completion is durable: until then this report is the only trace of it.
-            if (held.job.done.get(task)) {
-                commands.add(Command.forget(entry.task, entry.attempt))
-            } else if (held.owned.get(task)) {
-                held.unrecorded.set(task)
-                held.pending.clear(task)
-                held.doubtful.clear(task)
-            }
-            machine.failedJobs.clear()
-            machine.failures = 0
-            if (known != null) slowTasks.completed(machine, known, now)
-            return
-        }
-        commands.add(Command.forget(entry.task, entry.attempt))
-        if (entry.cause == ExitCause.ERROR && known != null) {
-            held.failures++
-            // Not for ever: this may be the only machine that the job is allowed on, and sound after all.
-            machine.avoid(held, now)
-            machine.failures++
-            // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a
-            // job that fails everywhere says nothing of machines, but must not keep them all busy.
-            val others = machine.failedJobs.size >= 2
-            if (machine.failures >= FAULTY && (others || !held.job.done.isEmpty)) machine.draining = true
-            if (held.failures > 3) held.retryAtMs = now + minOf(30_000L, 500L shl minOf(held.failures, 10))
-        }
-        if (known != null) {
-            if (entry.cause != ExitCause.ERROR &&
-                entry.cause != "stopped"
-            ) {
-                log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
-            }
-            requeue(known)
-        } else if (held.unheld(task) && !held.doubtful.get(task)) {
-            held.pending.set(task)
-            scheduler.invalidate()
-        }
-    }
-
-    /** A machine shows a task that an earlier owner started. */
-    private fun adopt(machine: Machine, held: PartitionJob, task: Int, entry: TaskReport, now: Long): Attempt? {
-        // A report that was held back may show a task that has long been given up here and is leaving for another
-        // partition: taken back, it would start in both.
-        if (!held.unheld(task)) {
-            log.warn(
-                "{}: {} shows {} (attempt {}), which it should not hold",
-                zone,
-                machine.id,
-                entry.task,
-                entry.attempt,
-            )
-            return null
-        }
-        held.pending.clear(task)
-        held.doubtful.clear(task)
-        return book(machine, held, task, entry.attempt, Phase.SENT, now)
-    }
-
-    private fun book(machine: Machine, held: PartitionJob, task: Int, id: Long, phase: Phase, now: Long): Attempt {
-        val attempt = Attempt(held, task, id, machine, phase, now)
-        machine.attempts.put(id, attempt)
-        machine.book(held.spec)
-        held.active.put(task, attempt)
-        teams.book(held.team, held.spec)
-        return attempt
-    }
-
-    /** The attempt holds nothing any more; what becomes of the task is the caller's matter. */
-    private fun release(attempt: Attempt) {
-        if (attempt.phase == Phase.EXITED) return
-        attempt.phase = Phase.EXITED
-        val held = attempt.job
-        val machine = attempt.machine
-        machine.attempts.remove(attempt.id)
-        machine.unbook(held.spec)
-        if (attempt.halting) machine.freeing.add(held.spec, -1)
-        if (held.active.get(attempt.task) === attempt) held.active.remove(attempt.task)
-        teams.unbook(held.team, held.spec)
-    }
-
-    private fun requeue(attempt: Attempt) {
-        val held = attempt.job
-        if (held.over || !held.unheld(attempt.task)) return
-        held.pending.set(attempt.task)
-        scheduler.invalidate()
-    }
-
     // ---- placement --------------------------------------------------------------------------------------------
 
     /** Jobs of which tasks wait, the most urgent first. */
@@ -651,15 +451,10 @@
         return inherited + (withUnknownTasks.amount() ?: return null)
     }
 
-    /** Unlike any attempt of another owner or an earlier start: the token is in it. */
-    private fun nextAttempt(): Long = (token shl ATTEMPT_BITS) or ++attempts
-
     fun runningTasks(jobId: String): Int =
         job(jobId)?.active?.values?.count { it.phase == Phase.RUNNING || it.phase == Phase.SAVING } ?: 0
 
     private companion object {
-        const val ATTEMPT_BITS = 24
-        const val FAULTY = 3
         const val PROBE_MS = 3_000L
         const val FEW_MISSING = 50
         const val UNREACHABLE = 5
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/placement/ReportReconciler.kt
@@ -0,0 +1,186 @@
+package io.otterknot.placement
+
+import io.otterknot.wire.Command
+import io.otterknot.wire.ExitCause
+import io.otterknot.wire.TaskName
+import io.otterknot.wire.TaskReport
+import io.otterknot.wire.TaskState
+import org.slf4j.LoggerFactory
+
+/**
+ * Brings what is booked on a machine in line with what its report shows, and says what to answer. A report shows what
+ * came of the commands of the answer before, since a worker has one report in flight and drops late answers.
+ */
+class ReportReconciler(
+    private val zone: String,
+    private val attempts: AttemptLedger,
+    private val job: (id: String) -> PartitionJob?,
+    private val slowTasks: SlowTaskDetector,
+) {
+    private val log = LoggerFactory.getLogger(ReportReconciler::class.java)
+
+    /** Takes what a report says of one task, and adds what to answer. */
+    fun reconcile(machine: Machine, entry: TaskReport, seq: Long, now: Long, commands: MutableList<Command>) {
+        val exited = entry.state == TaskState.EXITED
+        val known = machine.attempts.get(entry.attempt)
+        if (known != null && known.phase == Phase.SENT) machine.lostAnswers = 0
+        val number = known?.task ?: TaskName.parse(entry.task).number
+        val held = known?.job ?: job(entry.task.substringBefore('/'))
+        if (held == null || (held.over && exited)) {
+            // The job is over, or its task is none of ours.
+            known?.let(attempts::release)
+            commands.add(
+                if (exited) Command.forget(entry.task, entry.attempt) else Command.halt(entry.task, entry.attempt, 0.0),
+            )
+            return
+        }
+        if (exited) {
+            known?.let(attempts::release)
+            exited(machine, held, number, entry, known, now, commands)
+            return
+        }
+        val attempt = known ?: adopt(machine, held, number, entry, now)
+        if (attempt == null) {
+            commands.add(Command.halt(entry.task, entry.attempt, 0.0))
+            return
+        }
+        attempt.shownSeq = seq
+        val phase = when (entry.state) {
+            TaskState.FETCHING -> Phase.FETCHING
+            TaskState.SAVING -> Phase.SAVING
+            else -> Phase.RUNNING
+        }
+        if (phase != attempt.phase) {
+            if (phase == Phase.RUNNING) {
+                // Only of a task that was seen to fetch or to be sent is it known how long it has run.
+                attempt.ran = attempt.phase != Phase.SENT || attempt.started
+                attempt.since = now
+                held.begun = true
+            }
+            machine.uses(held.spec)
+            attempt.phase = phase
+        }
+    }
+
+    private fun exited(
+        machine: Machine,
+        held: PartitionJob,
+        task: Int,
+        entry: TaskReport,
+        known: Attempt?,
+        now: Long,
+        commands: MutableList<Command>,
+    ) {
+        if (entry.cause == ExitCause.DONE) {
+            // `forget` only once the completion is durable: until then this report is the only trace of it.
+            if (held.job.done.get(task)) {
+                commands.add(Command.forget(entry.task, entry.attempt))
+            } else if (held.owned.get(task)) {
+                held.unrecorded.set(task)
+                held.pending.clear(task)
+                held.doubtful.clear(task)
+            }
+            machine.failedJobs.clear()
+            machine.failures = 0
+            if (known != null) slowTasks.completed(machine, known, now)
+            return
+        }
+        commands.add(Command.forget(entry.task, entry.attempt))
+        if (entry.cause == ExitCause.ERROR && known != null) {
+            held.failures++
+            // Not for ever: this may be the only machine that the job is allowed on, and sound after all.
+            machine.avoid(held, now)
+            machine.failures++
+            // A machine is faulty if several jobs fail on it, or one that completes elsewhere does again and again; a
+            // job that fails everywhere says nothing of machines, but must not keep them all busy.
+            val others = machine.failedJobs.size >= 2
+            if (machine.failures >= FAULTY && (others || !held.job.done.isEmpty)) machine.draining = true
+            if (held.failures > 3) held.retryAtMs = now + minOf(30_000L, 500L shl minOf(held.failures, 10))
+        }
+        if (known != null) {
+            if (entry.cause != ExitCause.ERROR &&
+                entry.cause != "stopped"
+            ) {
+                log.warn("{}: {} on {} ended: {}", zone, entry.task, machine.id, entry.cause)
+            }
+            attempts.requeue(known)
+        } else if (held.unheld(task) && !held.doubtful.get(task)) {
+            attempts.requeue(held, task)
+        }
+    }
+
+    /** A machine shows a task that an earlier owner started. */
+    private fun adopt(machine: Machine, held: PartitionJob, task: Int, entry: TaskReport, now: Long): Attempt? {
+        // A report that was held back may show a task that has long been given up here and is leaving for another
+        // partition: taken back, it would start in both.
+        if (!held.unheld(task)) {
+            log.warn(
+                "{}: {} shows {} (attempt {}), which it should not hold",
+                zone,
+                machine.id,
+                entry.task,
+                entry.attempt,
+            )
+            return null
+        }
+        held.pending.clear(task)
+        held.doubtful.clear(task)
+        return attempts.book(machine, held, task, entry.attempt, Phase.SENT, now)
+    }
+
+    /**
+     * What was sent in the answer to an earlier report and is not here: the worker dropped that answer, and always
+     * will.
+     */
+    fun compareSent(machine: Machine) {
+        var lost = false
+        if (machine.attempts.isNotEmpty()) {
+            for (attempt in machine.attempts.values.toList()) {
+                if (attempt.shownSeq == machine.seq || attempt.phase == Phase.BOOKED) continue
+                lost = lost || attempt.phase == Phase.SENT
+                attempts.release(attempt)
+                attempts.requeue(attempt)
+            }
+        }
+        if (lost) machine.lostAnswers++
+    }
+
+    /**
+     * The cloud takes the machine in [noticeS]. What cannot end before that begins elsewhere at once: waiting for its
+     * loss would cost it the time of the notice besides, and a deadline leaves little more than that.
+     */
+    fun leave(machine: Machine, noticeS: Double, now: Long) {
+        for (attempt in machine.attempts.values.toList()) {
+            if (attempt.phase == Phase.BOOKED) {
+                attempts.stop(attempt)
+            } else if (attempt.phase != Phase.SAVING && attempt.expectedMs(now) > noticeS * 1000) {
+                attempt.halt()
+            }
+        }
+    }
+
+    /** Adds the starts and stops that are due. */
+    fun addCommands(machine: Machine, now: Long, commands: MutableList<Command>) {
+        for (attempt in machine.attempts.values) {
+            when {
+                attempt.halting && attempt.phase != Phase.BOOKED -> {
+                    val saves = attempt.job.spec.checkpointS > 0 && !attempt.job.over && !attempt.haltSent
+                    commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
+                    attempt.haltSent = true
+                }
+
+                attempt.phase == Phase.BOOKED -> {
+                    attempt.phase = Phase.SENT
+                    attempt.started = true
+                    attempt.since = now
+                    commands.add(Command.start(attempt.name, attempt.id))
+                }
+            }
+        }
+    }
+
+    private companion object {
+        /** So many failures in a row make a machine faulty. */
+        const val FAULTY = 3
+    }
+}
