--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -2,10 +2,10 @@
 
 import io.otterknot.api.UserApi
 import io.otterknot.cloud.CloudClient
-import io.otterknot.config.Objective
 import io.otterknot.config.Settings
 import io.otterknot.fleet.Fleet
 import io.otterknot.fleet.FleetPolicy
+import io.otterknot.fleet.MachineCatalog
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
 import io.otterknot.http.Reply
@@ -29,11 +29,8 @@
 import io.otterknot.placement.aimsByKind
 import io.otterknot.state.Amount
 import io.otterknot.state.Contact
-import io.otterknot.state.Entry
 import io.otterknot.state.Figures
 import io.otterknot.state.JobTable
-import io.otterknot.state.Keys
-import io.otterknot.state.MeanRecord
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Relays
 import io.otterknot.state.Replica
@@ -41,13 +38,6 @@
 import io.otterknot.state.StateLink
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
-import io.otterknot.state.decodeRecord
-import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
-import io.otterknot.wire.Guard
-import io.otterknot.wire.JobSpec
-import io.otterknot.wire.MachineType
-import io.otterknot.wire.MachineTypes
 import io.otterknot.workers.ReportEndpoint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -101,7 +91,7 @@
         machines = { machines.of(it).keys },
         onClaim = { zone, token, overriding -> claimed += Claim(zone, token, overriding) },
         onLoss = { partitions.remove(it) },
-        mayClaim = { fleet.types != null },
+        mayClaim = { catalog.types != null },
     )
     private class Claim(val zone: String, val token: Long, val overriding: Boolean)
 
@@ -112,11 +102,13 @@
     )
     private val leaseMs = (facts.workers.leaseS * 1000).toLong()
     private val aims = Aims(aimsByKind(facts.objectives))
-    private val fleet: Fleet = Fleet(
-        cloud, ownership, partitions,
+    private val catalog = MachineCatalog(cloud, random)
+    private val fleet = Fleet(
+        cloud, catalog, ownership, partitions,
         FleetPolicy(), aims,
         (facts.workers.reportS * 1000).toLong(), leaseMs, nowMs, random,
     )
+    private val typeRecorder = MachineTypeRecorder(state, replica, budget, limits)
     private val views = zones.associateWith { PartitionView(it) }
     private val writer = Writer(state, replica, random, limits, nowMs)
     private val recorder = PartitionRecorder(
@@ -128,16 +120,17 @@
         nowMs,
     )
     private val users = UserApi(
-        state, replica, jobs, partitions, { views.values.toList() }, { fleet.types }, facts.teams,
+        state, replica, jobs, partitions, { views.values.toList() }, { catalog.types }, facts.teams,
         limits, ::isolated, wallMs, random,
     )
     private val ownerTxn = OwnerTxn(state, replica, ownership, partitions, limits, random)
     private val allotments =
         Allotments(ownerTxn, replica, ownership, partitions, views, limits, facts.teams, zones, random)
-    private val handover = Handover(ownerTxn, ownership, partitions, views, ::offers, limits, nowMs, wallMs, random)
+    private val handover =
+        Handover(ownerTxn, ownership, partitions, views, catalog::offers, limits, nowMs, wallMs, random)
     private val reports = ReportEndpoint(settings.label, ownership, partitions, nowMs)
     private val router = RequestRouter(users, reports)
-    private val dispatcher = ReplicaDispatcher(jobs, partitions, machines, ownership, fleet, allotments, views)
+    private val dispatcher = ReplicaDispatcher(jobs, partitions, machines, ownership, catalog, allotments, views)
     private val idlePartitions = IdlePartitions(views) { contact.sound }
     private val announcer = Announcer(settings.label, idlePartitions, links.peers, partitions, nowMs, random)
 
@@ -159,8 +152,8 @@
         backgroundTask("types") {
             // What is remembered will do for a start, when there is most to do.
             withTimeoutOrNull(REMEMBER_MS) { replica.awaitLoaded() }
-            if (fleet.types != null) delay(FRESH_TYPES_MS)
-            fleet.learnTypes(::rememberTypes)
+            if (catalog.types != null) delay(FRESH_TYPES_MS)
+            catalog.learn(typeRecorder::record)
         }
         backgroundTask("fleet") { fleet.manage() }
         backgroundTask("inspection") { fleet.inspect() }
@@ -236,25 +229,6 @@
     /** Answers a request of a user, a worker or the load balancer. */
     suspend fun route(request: HttpRequest): HttpResponse = router.route(request)
 
-    /** Keeps what the cloud offers for controllers that start while it is away; prices alone are no reason to write. */
-    private suspend fun rememberTypes(offered: List<MachineType>) {
-        while (!replica.loaded) delay(RESTART_PAUSE_MS)
-        val entry = replica[Keys.TYPES]
-        val known = entry?.let { decodeRecord(MachineTypes.serializer(), it.value).types }.orEmpty()
-        fun shape(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
-        if (shape(known) == shape(offered)) return
-        val value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered))
-        val change = Change(put = Keys.TYPES, value = value)
-        if (!limits.fits(change)) return
-        budget.take(1)
-        // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
-        val outcome = state.txn(
-            listOf(Guard(Keys.TYPES, entry?.version ?: 0)),
-            listOf(change),
-        )
-        log.debug("machine types written: {}", outcome)
-    }
-
     /** A claimed partition is taken up once the replica holds everything that was written before the claim. */
     private fun takeUpClaims() {
         val due = claimed.filter { replica.revision >= it.token }
@@ -269,12 +243,12 @@
                 zone = zone,
                 token = token,
                 claimedMs = nowMs(),
-                othersUntilMs = ownership.othersUntilMs(zone, claim.overriding),
+                othersUntilMs = ownership.overrides.othersUntilMs(zone, claim.overriding),
                 times = PartitionTimings(leaseMs),
                 random = random,
                 aims = aims,
                 wallOf = { it + wallAhead() },
-                typeOf = fleet::type,
+                typeOf = catalog::type,
                 teamShares = teamShares(zone),
                 registeredMachines = registered,
             )
@@ -284,9 +258,6 @@
         }
     }
 
-    private fun offers(zone: String, spec: JobSpec): Boolean =
-        fleet.types.orEmpty().any { zone in it.zones && (spec.types == null || it.name in spec.types) }
-
     private fun teamShares(zone: String) = facts.teams.map { team ->
         TeamShare(team.name, if (team.cpus > 0) team.cpus else 1.0, allotments.of(team.name).byZone[zone] ?: Amount())
     }
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/controller/MachineTypeRecorder.kt
@@ -0,0 +1,40 @@
+package io.otterknot.controller
+
+import io.otterknot.state.Keys
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import io.otterknot.state.WriteLimits
+import io.otterknot.state.decodeRecord
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.Guard
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.MachineTypes
+import org.slf4j.LoggerFactory
+
+/** Keeps what the cloud offers for controllers that start while it is away. */
+class MachineTypeRecorder(
+    private val client: StateClient,
+    private val replica: Replica,
+    private val budget: RateBudget,
+    private val limits: WriteLimits,
+) {
+    private val log = LoggerFactory.getLogger(MachineTypeRecorder::class.java)
+
+    suspend fun record(offered: List<MachineType>) {
+        replica.awaitLoaded()
+        val entry = replica[Keys.TYPES]
+        val known = entry?.let { decodeRecord(MachineTypes.serializer(), it.value).types }.orEmpty()
+        if (withoutPrices(known) == withoutPrices(offered)) return
+        val change = Change(put = Keys.TYPES, value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered)))
+        if (!limits.fits(change)) return
+        budget.take(1)
+        // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
+        val outcome = client.txn(listOf(Guard(Keys.TYPES, entry?.version ?: 0)), listOf(change))
+        log.debug("machine types written: {}", outcome)
+    }
+
+    /** Prices alone are no reason to write. */
+    private fun withoutPrices(types: List<MachineType>) = types.map { it.copy(price = 0.0, spotPrice = 0.0) }
+}
--- a/src/main/kotlin/io/otterknot/controller/ReplicaDispatcher.kt
+++ b/src/main/kotlin/io/otterknot/controller/ReplicaDispatcher.kt
@@ -1,6 +1,6 @@
 package io.otterknot.controller
 
-import io.otterknot.fleet.Fleet
+import io.otterknot.fleet.MachineCatalog
 import io.otterknot.ownership.Allotments
 import io.otterknot.ownership.Ownership
 import io.otterknot.placement.Partition
@@ -19,7 +19,7 @@
     private val partitions: Map<String, Partition>,
     private val machines: RegisteredMachines,
     private val ownership: Ownership,
-    private val fleet: Fleet,
+    private val catalog: MachineCatalog,
     private val allotments: Allotments,
     private val views: Map<String, PartitionView>,
 ) {
@@ -38,7 +38,7 @@
                 ownership.partitionChanged(key.removePrefix(Keys.PARTITIONS), entry?.version)
 
             key.startsWith(Keys.OVERRIDES) ->
-                ownership.overrideChanged(key.removePrefix(Keys.OVERRIDES), present = entry != null)
+                ownership.overrides.changed(key.removePrefix(Keys.OVERRIDES), present = entry != null)
 
             key == Keys.TYPES -> typesChanged(entry)
 
@@ -66,7 +66,7 @@
     }
 
     private fun typesChanged(entry: Entry?) {
-        if (entry != null) fleet.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
+        if (entry != null) catalog.remembered(decodeRecord(MachineTypes.serializer(), entry.value).types)
     }
 
     private fun meanChanged(zone: String, entry: Entry?) {
--- a/src/main/kotlin/io/otterknot/fleet/Fleet.kt
+++ b/src/main/kotlin/io/otterknot/fleet/Fleet.kt
@@ -17,6 +17,7 @@
 /** Rents machines for the partitions this node owns, and gives back what is idle, broken or never came up. */
 class Fleet(
     private val cloud: CloudClient,
+    private val catalog: MachineCatalog,
     private val ownership: Ownership,
     private val partitions: Map<String, Partition>,
     private val policy: FleetPolicy,
@@ -39,46 +40,14 @@
     private val recentDemand = HashMap<String, RecentDemand>()
     private val gone = HashSet<String>()
     private val unreachableMs = HashMap<String, Long>()
+    private val listedMachines = ListedMachines(partitions, leaseMs, catalog::type)
     private var counter = 0L
 
-    var types: List<MachineType>? = null
-        private set
-    private val typesByName = HashMap<String, MachineType>()
-
-    fun type(name: String): MachineType? = typesByName[name]
-
-    /** The cloud itself has said what it offers since this process started. */
-    private var heard = false
-
-    /**
-     * Types that the service has learned before. A controller that starts while the cloud is away would otherwise own
-     * partitions and place nothing until it is back.
-     */
-    fun remembered(known: List<MachineType>) {
-        if (!heard) take(known)
-    }
-
-    private fun take(offered: List<MachineType>) {
-        types = offered
-        offered.forEach { typesByName[it.name] = it }
-    }
-
-    suspend fun learnTypes(remember: suspend (List<MachineType>) -> Unit) {
-        while (true) {
-            val offered = cloud.types()
-            if (offered != null) {
-                heard = true
-                take(offered)
-                remember(offered)
-            }
-            delay(if (!heard) 700 + random.nextLong(600) else TYPES_EVERY_MS)
-        }
-    }
-
+    /** Rents what is asked for and gives back what can be spared, until cancelled. */
     suspend fun manage() {
         while (true) {
             delay(TICK_MS + random.nextLong(200))
-            val offered = types ?: continue
+            val offered = catalog.types ?: continue
             settleOpen()
             for (zone in partitions.keys.toList()) {
                 val partition = partitions[zone] ?: continue
@@ -90,7 +59,11 @@
                 val view = view(partition)
                 retire(partition, view)
                 returnIdle(partition)
-                if (open.none { it.request.zone == zone } && !cutOff(partition)) rent(partition, view, offered)
+                if (open.none { it.request.zone == zone } &&
+                    !listedMachines.isCutOff(partition)
+                ) {
+                    rent(partition, view, offered)
+                }
             }
         }
     }
@@ -122,7 +95,7 @@
         when (val outcome = cloud.rent(request)) {
             is RentOutcome.Rented -> {
                 open.removeAll { it.request.request == request.request }
-                val cores = type(request.type)?.cores ?: 0.0
+                val cores = catalog.type(request.type)?.cores ?: 0.0
                 outcome.machines.forEach { coming[it] = Coming(request.zone, kind, cores, nowMs()) }
                 log.info(
                     "{}: rented {} of {} {}{}",
@@ -160,7 +133,7 @@
         }
         // Machines that an earlier owner had are heard of only by and by: before that, all would seem to be missing.
         for (type in partition.unheard()) {
-            val cores = type(type)?.cores ?: 0.0
+            val cores = catalog.type(type)?.cores ?: 0.0
             total += cores
             ordinary += cores
         }
@@ -169,7 +142,7 @@
             total += expected.cores
             if (!expected.kind.spot) ordinary += expected.cores
         }
-        val bootS = types.orEmpty().filter { partition.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
+        val bootS = catalog.types.orEmpty().filter { partition.zone in it.zones }.minOfOrNull { it.bootS } ?: 0.0
         val share = partition.jobs.maxOfOrNull { aims.readyShare(it.spec, bootS) } ?: 0.0
         val recent = recentDemand.getOrPut(partition.zone) { RecentDemand() }
         recent.share = maxOf(recent.share, share)
@@ -248,20 +221,16 @@
             val listed = cloud.machines() ?: continue
             val now = nowMs()
             val useless = ArrayList<String>()
-            val silentZones = listed.filter {
-                it.state == "running" && it.ageS > YOUNG_S
-            }.groupBy { it.zone }.filter { (zone, machines) ->
-                machines.size >= FEW && machines.count { heard(it) } * 2 < machines.size && zone in partitions
-            }.keys
+            val silentZones = listedMachines.silentZones(listed)
             for (machine in listed) {
                 val partition = partitions[machine.zone] ?: continue
                 if (machine.id in gone || ownership.token(machine.zone) != partition.token) continue
                 // When most machines of a zone are silent it is cut off: they come back with it, new ones would not.
                 if (machine.zone in silentZones && machine.state == "running") {
-                    firstSilent.remove(machine.id)
+                    listedMachines.excuse(machine)
                     continue
                 }
-                if (isUseless(machine, partition, now)) useless.add(machine.id)
+                if (listedMachines.isUseless(machine, partition, now)) useless.add(machine.id)
             }
             for (machine in listed) expect(machine, now)
             val ids = listed.mapTo(HashSet()) { it.id }
@@ -284,34 +253,11 @@
         ) {
             return
         }
-        val type = type(machine.type) ?: return
+        val type = catalog.type(machine.type) ?: return
         if (machine.ageS > type.bootS * LIKELY_BOOT) return
         coming[machine.id] = Coming(machine.zone, Kind(machine.type, machine.spot), type.cores, now)
     }
 
-    private fun heard(machine: ListedMachine) = partitions[machine.zone]?.machine(machine.id)?.silent == false
-
-    private fun cutOff(partition: Partition) =
-        partition.machines.size >= FEW && partition.machines.count { it.silent } * 2 > partition.machines.size
-
-    private val firstSilent = HashMap<String, Long>()
-
-    private fun isUseless(machine: ListedMachine, partition: Partition, now: Long): Boolean {
-        if (machine.state == "failed") return true
-        val known = partition.machine(machine.id)
-        if (known != null && !known.silent) {
-            firstSilent.remove(machine.id)
-            return false
-        }
-        val boot = type(machine.type)?.bootS ?: 60.0
-        val since = firstSilent.getOrPut(machine.id) { now }
-        return if (machine.state == "booting") {
-            machine.ageS > maxOf(boot * SLOW_BOOT, MIN_BOOT_S)
-        } else {
-            now - since > leaseMs + SILENT_MS
-        }
-    }
-
     private class RecentDemand {
         val ordinary = DemandWindow()
         val total = DemandWindow()
@@ -320,16 +266,10 @@
 
     private companion object {
         const val TICK_MS = 800L
-        const val TYPES_EVERY_MS = 60_000L
         const val INSPECT_MS = 5_000L
         const val CLOSED_MS = 6_000L
         const val VANISHED_MS = 30_000L
-        const val SILENT_MS = 4_000L
-        const val FEW = 4
-        const val YOUNG_S = 30.0
         const val LIKELY_BOOT = 2.0
-        const val SLOW_BOOT = 5.0
-        const val MIN_BOOT_S = 60.0
         const val HUNG_REPORTS = 3
         const val HUNG_MS = 4_500L
         const val KEEP_MS = 30_000L
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -44,30 +44,20 @@
     private var lease: Long? = null
     private val tokens = HashMap<String, Long>()
     private val unownedSince = HashMap<String, Long>()
-    private val misdirectedSince = HashMap<String, Long>()
-    private val ownedSinceMs = HashMap<String, Long>()
-    private val misdirected = MisdirectedWorkers()
+    private val monitor = OwnerMonitor(domains.size, random) { machines(it).size }
 
     /**
      * A machine reports here and is sent to the owner of its partition. It has left that owner if it was with it, and
      * then it shows the owner's [token]: one that shows less, as a whole zone does once it is no longer cut off, only
      * looks for it.
      */
-    fun sentOn(zone: String, machine: String, token: Long) = misdirected.sent(
-        zone,
-        machine,
-        nowMs(),
-        machine in machines(zone) && token == replica[Keys.partition(zone)]?.version,
-    )
-
-    /**
-     * Whether the owner of [zone] seems not to answer its workers: one sent there would wait in vain while its lease
-     * runs.
-     */
-    fun doubtsOwner(zone: String): Boolean =
-        longOwned(zone, nowMs()) && misdirected.left(zone, nowMs()) > manyLeft(zone) / 2
+    fun sentOn(zone: String, machine: String, token: Long) {
+        val leftOwner = machine in machines(zone) && token == replica[Keys.partition(zone)]?.version
+        monitor.sent(zone, machine, leftOwner, nowMs())
+    }
 
-    private fun longOwned(zone: String, now: Long) = now - (ownedSinceMs[zone] ?: now) > LONG_OWNED_MS
+    /** Whether the owner of [zone] seems not to answer its workers. */
+    fun doubtsOwner(zone: String): Boolean = monitor.isDoubtful(zone, nowMs())
 
     /** When a partition was claimed from this node although it acts for it: its workers do not reach it. */
     private var overriddenMs = Long.MIN_VALUE / 2
@@ -75,22 +65,8 @@
     /** The token of [zone] if this node may give commands there now. */
     fun token(zone: String): Long? = tokens[zone]?.takeIf { fence.holds(nowMs()) }
 
-    /**
-     * Until when some earlier owner of [zone], claimed from it without its doing, may still act: its fence was moved
-     * last before that claim. A claim that came through late, and a claimant that ended at once, leave the mark, and
-     * it counts from when this node saw it.
-     */
-    fun othersUntilMs(zone: String, overriding: Boolean): Long {
-        val now = nowMs()
-        val claimedFromOwner = if (overriding) now else overrideSeenMs[zone] ?: return now
-        return maxOf(now, claimedFromOwner + ttlMs)
-    }
-
-    private val overrideSeenMs = HashMap<String, Long>()
-
-    fun overrideChanged(zone: String, present: Boolean) {
-        if (present) overrideSeenMs[zone] = nowMs() else overrideSeenMs.remove(zone)
-    }
+    /** Until when an earlier owner of [zone], claimed from it without its doing, may still act. */
+    val overrides = OverrideMarks(ttlMs, nowMs)
 
     private fun overrideMark(zone: String) = Change(put = Keys.override(zone), value = JsonPrimitive(incarnation))
 
@@ -202,9 +178,7 @@
      * ours.
      */
     fun partitionChanged(zone: String, version: Long?) {
-        misdirectedSince.remove(zone)
-        misdirected.forget(zone)
-        ownedSinceMs[zone] = nowMs()
+        monitor.ownerChanged(zone, nowMs())
         val own = tokens[zone] ?: return
         if (version == null || version <= own) return
         if (fence.holds(nowMs())) overriddenMs = nowMs()
@@ -279,7 +253,7 @@
             unownedSince.remove(zone)
             // A key with this node's label that this process did not put is a predecessor's: that process is dead.
             if (decodeRecord(PartitionRecord.serializer(), entry.value).owner != label) {
-                if (!abandoned(zone, now)) return
+                if (!monitor.isAbandoned(zone, tokens.size, now)) return
                 overriding = true
                 log.info("{} does not answer its workers; taking {} over", ownerOf(zone), zone)
             }
@@ -309,28 +283,8 @@
         }
     }
 
-    /**
-     * Its workers come here; of the nodes that see this, one with less to do is first. Soon after a change of owner
-     * some are on their way still, and late copies of reports come to where the owner was.
-     */
-    private fun abandoned(zone: String, now: Long): Boolean {
-        val left = longOwned(zone, now) && misdirected.left(zone, now) >= manyLeft(zone)
-        if (!left && misdirected.count(zone, now) < minOf(FEW_MISDIRECTED, maxOf(1, machines(zone).size / 2))) {
-            misdirectedSince.remove(zone)
-            return false
-        }
-        val since = misdirectedSince.getOrPut(zone) { now + random.nextLong(MISDIRECTED_JITTER_MS) }
-        return now - since >= tokens.size * MISDIRECTED_OWNED_MS
-    }
-
-    /** That so many have left their owner is not the machines' doing. */
-    private fun manyLeft(zone: String) = manyMisdirected(machines(zone).size, domains.size)
-
     private companion object {
-        const val LONG_OWNED_MS = 20_000L
         const val OVERRIDDEN_MS = 45_000L
-        const val MISDIRECTED_JITTER_MS = 200L
-        const val MISDIRECTED_OWNED_MS = 300L
 
         /** So many more partitions than another node are too many: to hand one over costs its tasks a second or two. */
         const val TOO_MANY = 3
@@ -342,15 +296,3 @@
         const val REACH_MS = 2_000L
     }
 }
-
-/**
- * How many machines must have left their owner, as one other node sees it, before their number alone speaks against the
- * owner. When it has crashed all of them leave, a like share to each other node; but machines that hang and go on leave
- * it too, and of a large partition many may do so at a time: a fixed number would have its partitions claimed from a
- * sound owner.
- */
-fun manyMisdirected(machines: Int, nodes: Int): Int =
-    maxOf(FEW_MISDIRECTED, Math.ceil(machines * MISDIRECTED_SHARE / maxOf(1, nodes - 1)).toInt())
-
-private const val FEW_MISDIRECTED = 3
-private const val MISDIRECTED_SHARE = 0.3
--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -3,12 +3,8 @@
 import io.otterknot.state.Amount
 import io.otterknot.state.Job
 import io.otterknot.wire.Command
-import io.otterknot.wire.ExitCause
-import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.Report
-import io.otterknot.wire.TaskName
-import io.otterknot.wire.TaskReport
 import io.otterknot.wire.TaskState
 import org.slf4j.LoggerFactory
 import java.util.BitSet
@@ -44,6 +40,8 @@
  * flight and drops late answers, so its next report says what came of the commands. A machine counts as known only
  * once a report shows [token]. And a task that an earlier owner may have started is [PartitionJob.doubtful] until every
  * machine that could hold it is known, gone, or past its lease.
+ *
+ * Larger than other files: what takes a job or a machine in or lets go of it changes the same sets, and is read together.
  */
 class Partition(
     val zone: String,
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -10,7 +10,6 @@
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.Entry
 import io.otterknot.state.Final
-import io.otterknot.state.Job
 import io.otterknot.state.JobChanges
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
