--- /dev/null
+++ b/src/test/kotlin/io/otterknot/JobUsers.kt
@@ -0,0 +1,142 @@
+package io.otterknot
+
+import io.otterknot.http.HttpResponse
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.WireJson
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlin.random.Random
+
+/** Users behind a load balancer: they submit until they are accepted, poll until the end, and cancel. */
+class JobUsers(
+    private val scope: CoroutineScope,
+    private val random: Random,
+    private val nowMs: () -> Long,
+    private val nodes: List<String>,
+    private val rules: RuleChecks,
+    private val ask: suspend (
+        node: String,
+        method: String,
+        path: String,
+        body: ByteArray,
+        limitMs: Long,
+    ) -> HttpResponse?,
+) {
+    // ---- the balancer: it probes the nodes, and resets connections to one that has been unhealthy for long
+
+    private val failedProbes = HashMap<String, Int>()
+    private val unhealthySince = HashMap<String, Long>()
+    private val removals = HashMap<String, Int>()
+
+    suspend fun balance() {
+        while (true) {
+            delay(1_000)
+            nodes.forEach { probe(it) }
+        }
+    }
+
+    private suspend fun probe(node: String) {
+        val good = ask(node, "GET", "/ready", ByteArray(0), 1_000)?.status == 200
+        failedProbes[node] = if (good) 0 else (failedProbes[node] ?: 0) + 1
+        if (good) {
+            unhealthySince.remove(node)
+        } else if (failedProbes[node] == 2) {
+            unhealthySince[node] = nowMs()
+            removals.merge(node, 1, Int::plus)
+        }
+    }
+
+    fun removals(node: String): Int = removals[node] ?: 0
+
+    private fun connect(): String = nodes.filter { it !in unhealthySince }.ifEmpty { nodes }.random(random)
+
+    private fun isReset(node: String): Boolean = unhealthySince[node]?.let { nowMs() - it > 5_000 } ?: false
+
+    // ---- users
+
+    fun body(spec: JobSpec): ByteArray {
+        val plain = WireJson.encodeToJsonElement(JobSpec.serializer(), spec) as JsonObject
+        val fields = buildJsonObject {
+            plain.forEach { (key, value) -> put(key, value) }
+            put("Sort", "sweep")
+        }
+        return fields.toString().encodeToByteArray()
+    }
+
+    /** Submits until some node accepts, then polls until the end; a cancelled one is withdrawn after a while. */
+    fun user(spec: JobSpec, cancelAfterMs: Long?) = scope.launch {
+        rules.specs[spec.id] = spec
+        val connection = Connection()
+        // Users name only jobs that were accepted.
+        while (spec.awaits.orEmpty().any { !rules.isAccepted(it) }) delay(100)
+        submit(spec, connection)
+        val accepted = nowMs()
+        rules.accepted(spec)
+        while (true) {
+            delay(500 + random.nextLong(2_000))
+            if (cancelAfterMs != null && nowMs() - accepted > cancelAfterMs) rules.asked.add(spec.id)
+            val withdraw = spec.id in rules.asked && !rules.isCancelled(spec.id)
+            val response = if (withdraw) {
+                connection.request("POST", withdrawPath(spec), ByteArray(0), 2_000)
+            } else {
+                connection.request("GET", path(spec), ByteArray(0), 2_000)
+            }
+            if (response != null && response.status != 503) rules.answered(spec, response, rules.told(spec.id))
+        }
+    }
+
+    private suspend fun submit(spec: JobSpec, connection: Connection) {
+        while (true) {
+            val response = connection.request("POST", "/submissions", body(spec), 5_000)
+            if (response != null && response.status in 200..201) return
+            if (response != null) rules.refused(spec, response.status)
+            delay(1_000)
+        }
+    }
+
+    private inner class Connection {
+        private var connected: String? = null
+
+        suspend fun request(method: String, path: String, body: ByteArray, limitMs: Long): HttpResponse? {
+            val node = connected?.takeUnless(::isReset) ?: connect()
+            val response = ask(node, method, path, body, limitMs)
+            connected = if (response == null || response.close) null else node
+            return response
+        }
+    }
+
+    /** Asks any node until one confirms it. */
+    fun cancel(spec: JobSpec) = scope.launch {
+        rules.asked.add(spec.id)
+        while (!rules.isOver(spec.id)) {
+            if (!askOnce(spec, "POST", withdrawPath(spec), ByteArray(0))) delay(400)
+        }
+    }
+
+    fun poll(spec: JobSpec) = scope.launch { askOnce(spec, "GET", path(spec), ByteArray(0)) }
+
+    fun submitAgain(spec: JobSpec) = scope.launch { askOnce(spec, "POST", "/submissions", body(spec)) }
+
+    /** One request about an accepted job, to any node, whose answer must not be older than what was told before. */
+    private suspend fun askOnce(spec: JobSpec, method: String, path: String, body: ByteArray): Boolean {
+        val before = rules.told(spec.id)
+        val response = ask(connect(), method, path, body, 2_000) ?: return false
+        if (response.status == 503) return false
+        rules.answered(spec, response, before)
+        return true
+    }
+
+    /** Somebody asks about a job that nobody has submitted. */
+    suspend fun stranger(id: String) {
+        val response = ask(nodes.random(random), "GET", "/submissions/$id", ByteArray(0), 2_000)
+        if (response?.status == 200) rules.broken.add("invented: $id")
+    }
+
+    private fun path(spec: JobSpec) = "/submissions/${spec.id}"
+
+    private fun withdrawPath(spec: JobSpec) = "${path(spec)}/withdraw"
+}
