--- a/src/test/kotlin/io/otterknot/RuleChecks.kt
+++ b/src/test/kotlin/io/otterknot/RuleChecks.kt
@@ -186,22 +186,22 @@
             val silentMs = nowMs() - maxOf(overMs, at, answeredAt[id] ?: 0)
             if (silentMs > FORGOTTEN_MS) broken.add("forgotten: no question about $id was answered for $silentMs ms")
         }
-        specs.values.forEach(::lookForRoom)
+        val shown = workers().flatMapTo(HashSet()) { it.shown() }
+        for (spec in specs.values) lookForRoom(spec, shown)
     }
 
     /** Nothing may wait for 90 s while a machine that fits has room and its team is under its limit. */
-    private fun lookForRoom(spec: JobSpec) {
+    private fun lookForRoom(spec: JobSpec, shown: Set<String>) {
         val id = spec.id
-        if (!waits(spec) || !hasRoom(spec)) {
+        if (!waits(spec, shown) || !hasRoom(spec)) {
             roomySince.remove(id)
         } else if (nowMs() - roomySince.getOrPut(id) { nowMs() } > STARVED_MS) {
             broken.add("starved: $id waits though there is room")
         }
     }
 
-    private fun waits(spec: JobSpec): Boolean {
+    private fun waits(spec: JobSpec, shown: Set<String>): Boolean {
         if (isOver(spec.id) || !isAccepted(spec.id) || !spec.awaits.orEmpty().all(::isWhole)) return false
-        val shown = workers().flatMapTo(HashSet()) { it.shown() }
         return (0 until spec.tasks).map { "${spec.id}/$it" }.any { it !in completed && it !in shown }
     }
 
