--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -23,6 +23,7 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -308,16 +309,20 @@
         )
     }
 
+    /** How long so many changes of background tasks take, in whole seconds of virtual time. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun TestScope.secondsFor(budget: RateBudget, changes: Int): Long {
+        val before = currentTime
+        repeat(changes) { budget.takeSpare(1) }
+        return (currentTime - before) / 1000
+    }
+
     /** A limit that nobody told of: less and less is asked until nothing is refused, and more again in time. */
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
     fun `refusals that the known limits do not explain make a node slow down for a while`() = runTest {
         val budget = RateBudget(100.0, 10.0, { testScheduler.currentTime }, later = RateBudget.Limits(100.0, 10.0))
-        suspend fun secondsFor(changes: Int): Long {
-            val before = currentTime
-            repeat(changes) { budget.takeSpare(1) }
-            return (currentTime - before) / 1000
-        }
+        suspend fun secondsFor(changes: Int) = secondsFor(budget, changes)
         secondsFor(10)
         repeat(2) { budget.refused() }
         budget.refused()
@@ -340,11 +345,7 @@
     @Test
     fun `lower limits that were told of hold once requests are refused for their rate`() = runTest {
         val budget = RateBudget(100.0, 10.0, { testScheduler.currentTime }, later = RateBudget.Limits(100.0, 5.0))
-        suspend fun secondsFor(changes: Int): Long {
-            val before = currentTime
-            repeat(changes) { budget.takeSpare(1) }
-            return (currentTime - before) / 1000
-        }
+        suspend fun secondsFor(changes: Int) = secondsFor(budget, changes)
         secondsFor(10)
         assertEquals(3, secondsFor(30))
         budget.refused()
