A cancellation guards the version of the state that it looked at, also when it waits for its turn

The guard took the job's version after the wait for a place among the changes; a job that had ended in that wait was then overwritten with its cancellation.

--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -128,9 +128,12 @@
             if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later("the state service is away")
             val job = jobs[id] ?: return unknown(id)
             if (job.outcome != null) return tell(job, 200)
+            // The version must be that of the state which was looked at: while this waits its turn the job may end, and
+            // with the version of its end the cancellation would take that back.
+            val guard = Guard(Keys.job(id), job.version)
             val changes = JobChanges.end(job, Final.CANCELLED, wallMs(), limits)
             if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
-            when (val outcome = client.txn(listOf(Guard(Keys.job(id), job.version)), changes)) {
+            when (val outcome = client.txn(listOf(guard), changes)) {
                 is TxnOutcome.Applied -> {
                     replica.reach(outcome.revision, REACH_MS)
                     log.info("{} is cancelled", id)
