--- a/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
+++ b/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
@@ -47,9 +47,14 @@
         return small.chunked(minOf(budget.most, limits.txnOps, MAX_BATCH)) + large.map(::listOf)
     }
 
-    /** Whether to go on with further batches. */
-    private suspend fun finish(homeZone: String, batch: List<Job>): Boolean {
+    /**
+     * Whether to go on with further batches. Some of [chosen] may have been cancelled while earlier batches were
+     * written: with the version of its cancellation as the guard, such a job would be called done after all.
+     */
+    private suspend fun finish(homeZone: String, chosen: List<Job>): Boolean {
         val owner = ownership.guard(homeZone) ?: return true
+        val batch = chosen.filter(::isDue)
+        if (batch.isEmpty()) return true
         val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
         val changes = batch.flatMap { JobChanges.end(it, finalState(it), wallMs(), limits) }
         budget.takeSpare(changes.size)
