--- a/src/test/kotlin/io/otterknot/JobFinisherTest.kt
+++ b/src/test/kotlin/io/otterknot/JobFinisherTest.kt
@@ -3,15 +3,10 @@
 import io.otterknot.controller.JobFinisher
 import io.otterknot.ownership.Ownership
 import io.otterknot.state.DoneRecord
-import io.otterknot.state.Figures
 import io.otterknot.state.Final
 import io.otterknot.state.JobRecord
-import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
-import io.otterknot.state.RateBudget
-import io.otterknot.state.Replica
 import io.otterknot.state.Span
-import io.otterknot.state.StateClient
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
@@ -42,19 +37,12 @@
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
     fun `a job cancelled while earlier batches are written stays cancelled`() = runTest {
-        val now = { testScheduler.currentTime }
-        val state = StateStandIn(this, Random(1), now)
-        val writer = StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
-        val budget = RateBudget(1_000.0, 2.0, now)
-        val client = StateClient(state.link("n"), state.link("n"), budget, Figures(now))
-        val replica = Replica(client, Random(1), now, pauseMs = 20)
-        val jobs = JobTable()
-        replica.onChange = { key, entry ->
-            if (key.startsWith(Keys.JOBS)) jobs.changeJob(key, entry)
-            if (key.startsWith(Keys.DONE)) jobs.changeDone(key, entry)
-        }
+        val bench = StateBench(this, changesPerS = 2.0)
+        val client = bench.client
+        val jobs = bench.readJobs()
+        val replica = bench.replica
         val ownership = Ownership(
-            "n", listOf("a"), mapOf("n" to "a"), client, replica, 20_000, now, Random(1),
+            "n", listOf("a"), mapOf("n" to "a"), client, replica, 20_000, bench.now, Random(1),
             machines = { emptySet() }, onClaim = { _, _, _ -> }, onLoss = {}, mayClaim = { true },
         )
         launch { replica.follow() }
@@ -63,15 +51,16 @@
         while (ownership.token("a") == null) delay(50)
         val completions = DoneRecord(ids.associateWith { "AQ" })
         val done = Change(put = Keys.done("a", "1-0"), value = encodeRecord(DoneRecord.serializer(), completions))
-        writer.txn(emptyList(), ids.map { put(it, JobRecord(spec(it), listOf(Span("a", 0, 1)))) } + done)
+        bench.otherClient.txn(emptyList(), ids.map { put(it, JobRecord(spec(it), listOf(Span("a", 0, 1)))) } + done)
         delay(500)
-        val finisher = JobFinisher(client, replica, jobs, ownership, budget, WriteLimits(8_192, 1), now)
+        val finisher =
+            JobFinisher(client, replica, jobs, ownership, bench.budget, WriteLimits(8_192, 1), bench.now)
         val finishing = launch { finisher.finishAll() }
         // One change at a time, and two of them a second: the last one's turn comes later.
         delay(700)
-        writer.txn(emptyList(), listOf(put(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1))))
+        bench.otherClient.txn(emptyList(), listOf(put(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1))))
         finishing.join()
-        val finals = ids.map { decodeRecord(JobRecord.serializer(), state.value(Keys.job(it))!!).final }
+        val finals = ids.map { decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(it))!!).final }
         assertEquals(List(5) { Final.DONE } + Final.CANCELLED, finals)
         currentCoroutineContext().cancelChildren()
     }
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/StateBench.kt
@@ -0,0 +1,41 @@
+package io.otterknot
+
+import io.otterknot.http.Transport
+import io.otterknot.state.Figures
+import io.otterknot.state.JobTable
+import io.otterknot.state.Keys
+import io.otterknot.state.RateBudget
+import io.otterknot.state.Replica
+import io.otterknot.state.StateClient
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlin.random.Random
+
+/** A state service on virtual time, and one node's way to it; the node may make [changesPerS] changes a second. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class StateBench(
+    scope: TestScope,
+    changesPerS: Double = 1_000.0,
+    transport: (StateStandIn) -> Transport = { it.link("n") },
+) {
+    val now: () -> Long = { scope.testScheduler.currentTime }
+    val state = StateStandIn(scope, Random(1), now)
+    val budget = RateBudget(1_000.0, changesPerS, now)
+    val client = StateClient(transport(state), state.link("n"), budget, Figures(now))
+    val replica = Replica(client, Random(1), now, pauseMs = 20)
+
+    /** Another node, which never waits for its turn. */
+    val otherClient =
+        StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
+
+    /** What the replica says of jobs, from now on. */
+    fun readJobs(): JobTable {
+        val jobs = JobTable()
+        replica.onChange = { key, entry ->
+            if (key.startsWith(Keys.JOBS)) jobs.changeJob(key, entry)
+            if (key.startsWith(Keys.DONE)) jobs.changeDone(key, entry)
+        }
+        return jobs
+    }
+}
--- a/src/test/kotlin/io/otterknot/WithdrawTest.kt
+++ b/src/test/kotlin/io/otterknot/WithdrawTest.kt
@@ -1,15 +1,10 @@
 package io.otterknot
 
 import io.otterknot.api.UserApi
-import io.otterknot.state.Figures
 import io.otterknot.state.Final
 import io.otterknot.state.JobRecord
-import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
-import io.otterknot.state.RateBudget
-import io.otterknot.state.Replica
 import io.otterknot.state.Span
-import io.otterknot.state.StateClient
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
@@ -40,30 +35,26 @@
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
     fun `a job that ends while its cancellation waits stays done`() = runTest {
-        val now = { testScheduler.currentTime }
-        val state = StateStandIn(this, Random(1), now)
-        val writer = StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
-        val budget = RateBudget(1_000.0, 5.0, now)
-        val client = StateClient(state.link("n"), state.link("n"), budget, Figures(now))
-        val replica = Replica(client, Random(1), now, pauseMs = 20)
-        val jobs = JobTable()
-        replica.onChange = { key, entry -> if (key.startsWith(Keys.JOBS)) jobs.changeJob(key, entry) }
+        val bench = StateBench(this, changesPerS = 5.0)
+        val replica = bench.replica
         val api = UserApi(
-            client, replica, jobs, emptyMap(), { emptyList() }, { emptyList() }, emptyList(), WriteLimits(8_192, 40),
-            { false }, now, Random(1),
+            bench.client, replica, bench.readJobs(), emptyMap(), {
+                emptyList()
+            }, { emptyList() }, emptyList(), WriteLimits(8_192, 40),
+            { false }, bench.now, Random(1),
         )
         val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
         replica.awaitLoaded()
-        writer.txn(emptyList(), put(JobRecord(spec, listOf(Span("a", 0, 1)))))
+        bench.otherClient.txn(emptyList(), put(JobRecord(spec, listOf(Span("a", 0, 1)))))
         delay(200)
         // The burst is used up, so the cancellation waits for most of a second.
-        repeat(7) { launch { budget.tryTake(1, 2_000) } }
+        repeat(7) { launch { bench.budget.tryTake(1, 2_000) } }
         val answer = async { api.withdraw(id) }
         delay(100)
         assertTrue(answer.isActive, "it waits")
-        writer.txn(emptyList(), put(JobRecord(final = Final.DONE, tasks = 1)))
+        bench.otherClient.txn(emptyList(), put(JobRecord(final = Final.DONE, tasks = 1)))
         assertTrue(answer.await().body.decodeToString().contains("done"))
-        val stored = decodeRecord(JobRecord.serializer(), state.value(Keys.job(id))!!)
+        val stored = decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(id))!!)
         assertEquals(Final.DONE, stored.final, "at ${testScheduler.currentTime} ms")
         background.forEach { it.cancel() }
     }
--- a/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
+++ b/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
@@ -7,12 +7,8 @@
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Partition
 import io.otterknot.placement.PartitionTimings
-import io.otterknot.state.Figures
 import io.otterknot.state.Keys
 import io.otterknot.state.PendingWrite
-import io.otterknot.state.RateBudget
-import io.otterknot.state.Replica
-import io.otterknot.state.StateClient
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
 import io.otterknot.wire.Change
@@ -21,7 +17,6 @@
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.JsonPrimitive
@@ -54,20 +49,9 @@
         assertTrue(!limits.fits(Change(put = "k", value = JsonPrimitive("ł".repeat(1_000)))))
     }
 
-    private class Bench(val state: StateStandIn, val client: StateClient, val replica: Replica)
-
-    private fun TestScope.bench(transport: (StateStandIn) -> Transport = { it.link("n") }): Bench {
-        val now = { testScheduler.currentTime }
-        val state = StateStandIn(this, Random(1), now)
-        val link = transport(state)
-        val client = StateClient(link, state.link("n"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
-        val replica = Replica(client, Random(1), now, 20)
-        return Bench(state, client, replica)
-    }
-
     @Test
     fun `one value that is refused holds up only what depends on it`() = runTest {
-        val bench = bench()
+        val bench = StateBench(this)
         val follower = launch { bench.replica.follow() }
         bench.replica.awaitLoaded()
         bench.state.maxValueBytes = 1_500
@@ -117,7 +101,7 @@
         expected: String,
     ) = runTest {
         val statuses = answers.split('|').dropLast(1).map { it.toIntOrNull() }
-        val bench = bench { script(it, statuses) }
+        val bench = StateBench(this) { script(it, statuses) }
         val partitions = HashMap<String, Partition>()
         val now = { testScheduler.currentTime }
         val ownership = Ownership(
