--- a/src/test/kotlin/io/otterknot/Case.kt
+++ b/src/test/kotlin/io/otterknot/Case.kt
@@ -19,6 +19,9 @@
     val teamLimit: Double = 0.0,
     val capacity: Int = 4,
     val seeds: Long = 2L,
+    val firstSeed: Long = 1L,
+    /** The changes a second that controllers may make together; few make them wait for their turn. */
+    val changesPerS: Double = 300.0,
     /** Whether the usual mixture of jobs arrives; the trouble may bring its own instead. */
     val mixture: Boolean = true,
     val trouble: suspend ClusterStandIn.() -> Unit,
@@ -28,10 +31,11 @@
     /** Plays the case with some seeds; every rule is watched, and every job must end. */
     @OptIn(ExperimentalCoroutinesApi::class)
     fun play() = runTest(timeout = 3.minutes) {
-        for (seed in 1L..(System.getProperty("otterknot.seeds")?.toLong() ?: seeds)) {
+        for (seed in firstSeed..<firstSeed + (System.getProperty("otterknot.seeds")?.toLong() ?: seeds)) {
             coroutineScope {
                 val started = testScheduler.currentTime
-                val cluster = ClusterStandIn(this, seed, { testScheduler.currentTime }, teamLimit, capacity)
+                val cluster =
+                    ClusterStandIn(this, seed, { testScheduler.currentTime }, teamLimit, capacity, changesPerS)
                 cluster.zones.forEach { zone -> repeat(2) { cluster.boot(zone, spot = it == 1) } }
                 cluster.nodes.forEach(cluster::startNode)
                 launch { cluster.balance() }
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -20,6 +20,7 @@
 import io.otterknot.state.decodeRecord
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.Priority
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -35,6 +36,8 @@
     teamLimit: Double = 0.0,
     /** How many machines of each kind a zone has. */
     capacity: Int = 4,
+    /** The changes a second that controllers are told they may make together. */
+    private val changesPerS: Double = 300.0,
 ) {
     val random = Random(seed)
     val zones = listOf("a", "b", "c")
@@ -46,6 +49,11 @@
     val rules = RuleChecks(nowMs, limits) { cloud.workers }
     private val users = JobUsers(scope, random, nowMs, nodes, rules, ::ask)
     private val running = HashMap<String, Job>()
+
+    init {
+        state.onOverwrite = rules::overwritten
+    }
+
     private val controllers = HashMap<String, Controller>()
 
     // ---- faults and other circumstances
@@ -114,7 +122,7 @@
             teams = limits.map { TeamFacts(it.key, cpusMax = it.value) },
             objectives = listOf(Objective("wait", "urgent", 8.0, 0.9)),
             workers = WorkerFacts(0.8, LEASE_S, CANCEL_S),
-            state = StateFacts(600.0, 300.0, 8.0, 40, next),
+            state = StateFacts(600.0, changesPerS, 8.0, 40, next),
             cloud = CloudFacts(30.0, 1.0),
         )
         return Settings(
@@ -130,7 +138,20 @@
 
     private fun peer(from: String, to: String) = PeerTransport { message, timeoutMs ->
         if (from in peerless || to in peerless) return@PeerTransport null
-        withTimeoutOrNull(timeoutMs) { controllers[to]?.peer(message) }
+        serve(to, timeoutMs) { it.peer(message) }
+    }
+
+    /**
+     * What [node] makes of a request, unless it ends meanwhile or takes too long. It goes on with a request whose sender
+     * has given up.
+     */
+    private suspend fun <T : Any> serve(node: String, limitMs: Long, handle: suspend (Controller) -> T): T? {
+        val controller = controllers[node] ?: return null
+        val answer = CompletableDeferred<T?>()
+        CoroutineScope(scope.coroutineContext + running.getValue(node))
+            .launch { answer.complete(handle(controller)) }
+            .invokeOnCompletion { answer.complete(null) }
+        return withTimeoutOrNull(limitMs) { answer.await() }
     }
 
     fun controller(label: String): Controller = controllers.getValue(label)
@@ -149,7 +170,8 @@
     suspend fun ask(label: String, method: String, path: String, body: ByteArray, limitMs: Long): HttpResponse? {
         val controller = controllers[label] ?: return null
         delay(1 + random.nextLong(5))
-        val answer = withTimeoutOrNull(limitMs) { controller.route(HttpRequest(method, path, body)) }
+        val answer = serve(label, limitMs) { it.route(HttpRequest(method, path, body)) }
+        delay(1 + random.nextLong(5))
         return answer.takeIf { controllers[label] === controller }
     }
 
@@ -195,7 +217,7 @@
         zone = zone,
     )
 
-    fun body(spec: JobSpec): ByteArray = users.body(spec)
+    fun body(spec: JobSpec): ByteArray = submissionBody(spec)
 
     /** A test submits it by itself. */
     fun expect(spec: JobSpec): JobSpec = spec.also { rules.specs[it.id] = it }
@@ -222,6 +244,8 @@
 
     suspend fun stranger(id: String) = users.stranger(id)
 
+    var closeLooks: Boolean by users::closeLooks
+
     // ---- rules
 
     val broken: MutableList<String> get() = rules.broken
--- a/src/test/kotlin/io/otterknot/JobUsers.kt
+++ b/src/test/kotlin/io/otterknot/JobUsers.kt
@@ -11,6 +11,16 @@
 import kotlinx.serialization.json.put
 import kotlin.random.Random
 
+/** The body of a submission. */
+fun submissionBody(spec: JobSpec): ByteArray {
+    val plain = WireJson.encodeToJsonElement(JobSpec.serializer(), spec) as JsonObject
+    val fields = buildJsonObject {
+        plain.forEach { (key, value) -> put(key, value) }
+        put("Sort", "sweep")
+    }
+    return fields.toString().encodeToByteArray()
+}
+
 /** Users behind a load balancer: they submit until they are accepted, poll until the end, and cancel. */
 class JobUsers(
     private val scope: CoroutineScope,
@@ -58,15 +68,6 @@
 
     // ---- users
 
-    fun body(spec: JobSpec): ByteArray {
-        val plain = WireJson.encodeToJsonElement(JobSpec.serializer(), spec) as JsonObject
-        val fields = buildJsonObject {
-            plain.forEach { (key, value) -> put(key, value) }
-            put("Sort", "sweep")
-        }
-        return fields.toString().encodeToByteArray()
-    }
-
     /** Submits until some node accepts, then polls until the end; a cancelled one is withdrawn after a while. */
     fun user(spec: JobSpec, cancelAfterMs: Long?) = scope.launch {
         rules.specs[spec.id] = spec
@@ -75,24 +76,29 @@
         while (spec.awaits.orEmpty().any { !rules.isAccepted(it) }) delay(100)
         submit(spec, connection)
         val accepted = nowMs()
-        rules.accepted(spec)
         while (true) {
             delay(500 + random.nextLong(2_000))
             if (cancelAfterMs != null && nowMs() - accepted > cancelAfterMs) rules.asked.add(spec.id)
             val withdraw = spec.id in rules.asked && !rules.isCancelled(spec.id)
+            val before = rules.told(spec.id)
             val response = if (withdraw) {
                 connection.request("POST", withdrawPath(spec), ByteArray(0), 2_000)
             } else {
                 connection.request("GET", path(spec), ByteArray(0), 2_000)
             }
-            if (response != null && response.status != 503) rules.answered(spec, response, rules.told(spec.id))
+            if (response != null && response.status != 503) answered(spec, response, before)
         }
     }
 
     private suspend fun submit(spec: JobSpec, connection: Connection) {
         while (true) {
-            val response = connection.request("POST", "/submissions", body(spec), 5_000)
-            if (response != null && response.status in 200..201) return
+            val before = rules.told(spec.id)
+            val response = connection.request("POST", "/submissions", submissionBody(spec), 5_000)
+            if (response != null && response.status in 200..201) {
+                rules.accepted(spec)
+                answered(spec, response, before)
+                return
+            }
             if (response != null) rules.refused(spec, response.status)
             delay(1_000)
         }
@@ -119,17 +125,42 @@
 
     fun poll(spec: JobSpec) = scope.launch { askOnce(spec, "GET", path(spec), ByteArray(0)) }
 
-    fun submitAgain(spec: JobSpec) = scope.launch { askOnce(spec, "POST", "/submissions", body(spec)) }
+    fun submitAgain(spec: JobSpec) = scope.launch { askOnce(spec, "POST", "/submissions", submissionBody(spec)) }
 
     /** One request about an accepted job, to any node, whose answer must not be older than what was told before. */
     private suspend fun askOnce(spec: JobSpec, method: String, path: String, body: ByteArray): Boolean {
         val before = rules.told(spec.id)
         val response = ask(connect(), method, path, body, 2_000) ?: return false
         if (response.status == 503) return false
-        rules.answered(spec, response, before)
+        answered(spec, response, before)
         return true
     }
 
+    // ---- close looks: users ask at all nodes, again and again, whenever they have learnt something of a job
+
+    var closeLooks = false
+
+    /** Takes an answer to a request that was begun when users had been told [before]. */
+    private fun answered(spec: JobSpec, response: HttpResponse, before: String?) {
+        val known = rules.told(spec.id)
+        val wasOver = rules.isOver(spec.id)
+        rules.answered(spec, response, before)
+        val hasNews = (known == null && rules.told(spec.id) != null) || rules.isOver(spec.id) != wasOver
+        if (closeLooks && hasNews) lookClosely(spec)
+    }
+
+    /** Asks about the job, submits it or cancels it again, at any node and several times within milliseconds. */
+    private fun lookClosely(spec: JobSpec) = repeat(CLOSE_LOOKS) {
+        scope.launch {
+            delay(random.nextLong(CLOSE_LOOK_MS))
+            when (random.nextInt(if (spec.id in rules.asked) 5 else 4)) {
+                0, 1 -> askOnce(spec, "GET", path(spec), ByteArray(0))
+                2, 3 -> askOnce(spec, "POST", "/submissions", submissionBody(spec))
+                else -> askOnce(spec, "POST", withdrawPath(spec), ByteArray(0))
+            }
+        }
+    }
+
     /** Somebody asks about a job that nobody has submitted. */
     suspend fun stranger(id: String) {
         val response = ask(nodes.random(random), "GET", "/submissions/$id", ByteArray(0), 2_000)
@@ -139,4 +170,9 @@
     private fun path(spec: JobSpec) = "/submissions/${spec.id}"
 
     private fun withdrawPath(spec: JobSpec) = "${path(spec)}/withdraw"
+
+    private companion object {
+        const val CLOSE_LOOKS = 8
+        const val CLOSE_LOOK_MS = 400L
+    }
 }
--- a/src/test/kotlin/io/otterknot/RuleChecks.kt
+++ b/src/test/kotlin/io/otterknot/RuleChecks.kt
@@ -1,9 +1,13 @@
 package io.otterknot
 
 import io.otterknot.http.HttpResponse
+import io.otterknot.state.JobRecord
+import io.otterknot.state.Keys
+import io.otterknot.state.decodeRecord
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobStatus
 import io.otterknot.wire.WireJson
+import kotlinx.serialization.json.JsonElement
 
 const val LEASE_S = 10.0
 const val CANCEL_S = 35.0
@@ -73,10 +77,18 @@
         if (status in listOf(400, 422)) broken.add("forgotten: ${spec.id} refused with $status")
     }
 
+    /** The state service holds another value for a key than before: a job's final state is never changed. */
+    fun overwritten(key: String, before: JsonElement, after: JsonElement) {
+        if (!key.startsWith(Keys.JOBS)) return
+        val final = decodeRecord(JobRecord.serializer(), before).final ?: return
+        val now = decodeRecord(JobRecord.serializer(), after).final
+        if (now != final) broken.add("went_back: $key is stored as $final, then as $now")
+    }
+
     /** An answer other than 503 about an accepted job, whose user was told [before] when it was asked. */
     fun answered(spec: JobSpec, response: HttpResponse, before: String?) {
         answeredAt[spec.id] = nowMs()
-        if (response.status != 200) {
+        if (response.status !in 200..201) {
             broken.add("forgotten: ${spec.id} got ${response.status}")
             return
         }
@@ -87,6 +99,10 @@
 
     private fun checkState(spec: JobSpec, state: String, before: String?) {
         if (before in FINAL_STATES && before != state) broken.add("went_back: ${spec.id} $before -> $state")
+        val last = told[spec.id]
+        if (before != last && last in FINAL_STATES && state in FINAL_STATES && state != last) {
+            broken.add("went_back: ${spec.id} is $last and $state")
+        }
         when (state) {
             "aborted" -> {
                 val byUser = spec.id in asked || ancestors(spec).any { it in asked }
--- a/src/test/kotlin/io/otterknot/StateStandIn.kt
+++ b/src/test/kotlin/io/otterknot/StateStandIn.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonElement
 import java.util.TreeMap
 import kotlin.random.Random
@@ -46,6 +47,27 @@
     /** How much longer than usual every answer takes. */
     var slowMs = 0L
 
+    /** How long an answer may be on its way back, after the request was carried out; past its limit it is lost. */
+    var answerMs = 0L
+
+    /** How long the answers of watches may be on their way; what they say is older by then. */
+    var watchAnswerMs = 0L
+
+    /** Share of transactions that are carried out at once and whose answer alone is lost. */
+    var unanswered = 0.0
+
+    /** Share of transactions that are carried out once more, up to some seconds later. */
+    var repeated = 0.0
+
+    /** How many changes it remembers for watches; what asks for older ones has to read everything again. */
+    var keptChanges = Int.MAX_VALUE
+
+    /** The most keys of a page, whatever is asked for. */
+    var pageKeys = Int.MAX_VALUE
+
+    /** Told of each key that is put over an earlier value. */
+    var onOverwrite: (key: String, before: JsonElement, after: JsonElement) -> Unit = { _, _, _ -> }
+
     /** The most bytes of a value, and changes of a transaction: more gets 400. */
     var maxValueBytes = Int.MAX_VALUE
     var maxOps = Int.MAX_VALUE
@@ -77,6 +99,11 @@
         if (!on) leases.values.forEach { it.endsMs = nowMs() + it.ttlMs }
     }
 
+    /** What somebody else has stored, whatever was there. */
+    fun store(vararg changes: Change) {
+        commit(Txn(emptyList(), changes.toList()))
+    }
+
     fun value(key: String): JsonElement? = data[key]?.value
 
     /** When each node last renewed a lease. */
@@ -86,8 +113,15 @@
     fun contents(): Map<String, JsonElement> = data.mapValues { it.value.value }
 
     fun link(node: String) = Transport { method, target, body, timeoutMs ->
-        delay(2 + random.nextLong(6) + if (target.startsWith("/watch")) 0 else slowMs)
-        serve(node, method, target, body, timeoutMs)
+        val watches = target.startsWith("/watch")
+        val reply = withTimeoutOrNull(timeoutMs) {
+            delay(2 + random.nextLong(6) + if (watches) 0 else slowMs)
+            val reply = serve(node, method, target, body, timeoutMs)
+            val mostBackMs = if (watches) watchAnswerMs else answerMs
+            if (mostBackMs > 0) delay(random.nextLong(mostBackMs))
+            reply
+        }
+        reply ?: Reply.None("no answer in time")
     }
 
     private suspend fun serve(node: String, method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
@@ -120,7 +154,15 @@
                     delay(timeoutMs)
                     return Reply.None("lost")
                 }
-                commit(txn)
+                if (random.nextDouble() < repeated) {
+                    scope.launch {
+                        delay(random.nextLong(6_000))
+                        if (!away) commit(txn)
+                    }
+                }
+                val reply = commit(txn)
+                if (random.nextDouble() < unanswered) delay(timeoutMs)
+                reply
             }
 
             path == "/holds" -> {
@@ -150,7 +192,7 @@
                 val items = data.tailMap(query["After"] ?: under, query["After"] == null).entries.takeWhile {
                     it.key.startsWith(under)
                 }
-                val page = items.take(query.getValue("Page").toInt()).map {
+                val page = items.take(minOf(query.getValue("Page").toInt(), pageKeys)).map {
                     StoredValue(it.key, it.value.value, it.value.version)
                 }
                 answer(
@@ -170,6 +212,7 @@
         val until = nowMs() + waitMs
         while (true) {
             expire()
+            if (log.size > keptChanges && log[log.size - keptChanges].version!! > after + 1) return answer(410, "{}")
             val waits = away || refusedFor == node || watchless == node
             val news = if (waits) emptyList() else log.filter { it.version!! > after && it.key.startsWith(under) }
             if (news.isNotEmpty() || (nowMs() >= until && !waits)) {
@@ -192,6 +235,7 @@
         for (change in txn.changes) {
             val put = change.put
             if (put != null) {
+                data[put]?.let { onOverwrite(put, it.value, change.value!!) }
                 data[put] = Kept(change.value!!, revision, change.lease)
                 log.add(Change(put = put, value = change.value, version = revision))
             } else if (data.remove(change.key) != null) {
