--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -73,6 +73,7 @@
      * told to stop, and until it is gone nobody knows what it takes, of the machine and of its team's limit.
      */
     private val withUnknownTasks = UnreconciledMachines(emptyMap(), typeOf)
+    private val health = MachineHealth({ machineList }, { machine(it) != null }, unreconciled)
     private val teams = TeamLedger(teamShares, ::unknownAmount)
 
     private val attempts: AttemptLedger = AttemptLedger(token, teams) { scheduler.invalidate() }
@@ -80,11 +81,6 @@
     /** What the machines and jobs of this partition add up to. */
     val load = PartitionLoad({ machineList }, { jobList }, teams)
 
-    /**
-     * Machines whose lease ended with tasks of jobs that are over on them: hung, they may hold them still, and go back.
-     */
-    private val hungWithEndedJobs = HashSet<String>()
-
     /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
     private val lastSeen = LastSeen()
     var settled = false
@@ -249,44 +245,20 @@
     fun dismiss(id: String) {
         unreconciled.remove(id)
         withUnknownTasks.remove(id)
-        hungWithEndedJobs.remove(id)
+        health.forget(id)
         val machine = machine(id) ?: return
         attempts.releaseAll(machine)
         lastSeen.note(id, machine.session, machine.seq)
         machineByName.remove(id)
     }
 
-    /**
-     * Machines that have stopped reporting while most others go on, and that hold tasks or doubts up: a hung machine
-     * is given back, since the cloud's answer settles sooner than its lease what became of its tasks.
-     */
-    fun hung(now: Long, afterMs: Long): List<String> = (hungWithEndedJobs + quiet(now, afterMs)).toList()
-
-    private fun quiet(now: Long, afterMs: Long): List<String> {
-        val talking = machineList.filter { !it.silent }
-        val quiet = talking.filter { now - it.heardMs > afterMs }
-        if (talking.size < 3 || quiet.size * 3 > talking.size) return emptyList()
-        val lively = talking.count { now - it.heardMs < afterMs / 2 }
-        if (lively * 2 < talking.size) return emptyList()
-        return quiet.filter { it.attempts.isNotEmpty() || it.id in unreconciled }.map { it.id } +
-            neverHeard(now, afterMs, talking.size)
-    }
-
-    /**
-     * Machines that have not reported since the claim while most have. In a large partition one or two are dead at any
-     * time, and they hold all its waiting tasks up: when so few are missing, nobody waits for them as long as for many.
-     */
-    private fun neverHeard(now: Long, afterMs: Long, talking: Int): Collection<String> {
-        if (settled || unreconciled.size * 3 > talking) return emptyList()
-        val missing = unreconciled.filter { machine(it) == null }.keys
-        val waitMs = if (missing.size * FEW_MISSING <= talking) afterMs * 2 / 3 else afterMs
-        return if (now - claimedMs < waitMs) emptyList() else missing
-    }
+    /** Machines that are to be given back since they hang and hold tasks or doubts up; see [MachineHealth]. */
+    fun hung(now: Long, afterMs: Long): List<String> = health.hung(now, afterMs, if (settled) null else claimedMs)
 
     /**
      * Machines whose reports arrive while answers to them are lost again and again: they do nothing and hold others up.
      */
-    fun unreachable(): List<String> = machineList.filter { it.lostAnswers >= UNREACHABLE }.map { it.id }
+    fun unreachable(): List<String> = health.unreachable()
 
     /**
      * Looks for machines whose lease is surely over, and for doubts that time has settled; places what waits. Where
@@ -294,22 +266,13 @@
      */
     fun sweep(now: Long, slow: Boolean = false) {
         for (machine in machineList) {
-            if (!machine.silent && now - machine.leaseFromMs > times.surelyOverMs &&
-                now - machine.heardMs > times.surelyOverMs
-            ) {
-                log.info(
-                    "{}: no report from {} within its lease; {} attempts are over",
-                    zone,
-                    machine.id,
-                    machine.attempts.size,
-                )
+            if (!machine.silent && isLeaseOver(machine, now)) {
+                val count = machine.attempts.size
+                log.info("{}: no report from {} within its lease; {} attempts are over", zone, machine.id, count)
                 machine.silent = true
                 machine.idle = false
-                if (machine.attempts.values.any { it.job.over } ||
-                    machine.id in withUnknownTasks
-                ) {
-                    hungWithEndedJobs.add(machine.id)
-                }
+                val holdsEndedJobs = machine.attempts.values.any { it.job.over } || machine.id in withUnknownTasks
+                if (holdsEndedJobs) health.hangsWithEndedJobs(machine.id)
                 withUnknownTasks.remove(machine.id)
                 attempts.releaseAll(machine)
             }
@@ -320,6 +283,9 @@
         scheduler.placeAll(now)
     }
 
+    private fun isLeaseOver(machine: Machine, now: Long): Boolean =
+        now - machine.leaseFromMs > times.surelyOverMs && now - machine.heardMs > times.surelyOverMs
+
     private fun settle(now: Long) {
         if (settled) return
         // An answer with the new token renews the lease of a machine that still holds an earlier owner's tasks. If it
@@ -367,7 +333,7 @@
         machine.seq = report.seq
         machine.heardMs = now
         machine.silent = false
-        hungWithEndedJobs.remove(machine.id)
+        health.forget(machine.id)
         if (report.token < token) {
             unknowing(machine, known != null, now)
             return ReportDecision.Answer(token, emptyList())
@@ -454,7 +420,5 @@
 
     private companion object {
         const val PROBE_MS = 3_000L
-        const val FEW_MISSING = 50
-        const val UNREACHABLE = 5
     }
 }
