--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -6,16 +6,15 @@
 import io.otterknot.placement.PartitionChooser
 import io.otterknot.placement.PartitionView
 import io.otterknot.state.Final
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Job
-import io.otterknot.state.JobChanges
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
-import io.otterknot.state.Keys
+import io.otterknot.state.JobTransitions
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
 import io.otterknot.state.WriteLimits
-import io.otterknot.wire.Guard
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobStatus
 import io.otterknot.wire.MachineType
@@ -68,7 +67,7 @@
 
     /** Only what was accepted may be awaited; another node may have accepted it a moment ago. Null: all is well. */
     private suspend fun checkAwaited(spec: JobSpec): HttpResponse? {
-        if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+        if (!replica.upToDate(BARRIER_MS)) return later(STATE_AWAY)
         jobs[spec.id]?.let { return tell(it, 200) }
         val unknown = spec.awaits.orEmpty().firstOrNull { jobs[it] == null } ?: return null
         return refuse(spec.id, 422, "Awaits names $unknown, which was never accepted")
@@ -86,13 +85,13 @@
         )
         var tried = limits
         repeat(SIZE_TRIES) {
-            val changes = JobChanges.accept(Keys.job(spec.id), record, tried) ?: return refuse(spec.id, 400, TOO_LONG)
-            if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
-            val outcome = client.txn(changes.map { Guard(it.key, 0) }, changes)
+            val acceptance = JobTransitions.accept(record, tried) ?: return refuse(spec.id, 400, TOO_LONG)
+            if (!client.budget.tryTake(acceptance.size, SUBMIT_WAIT_MS)) return later(TOO_MANY_CHANGES)
+            val outcome = client.txn(acceptance)
             if (outcome !is TxnOutcome.Refused || !outcome.tooLarge) return stored(spec, record, outcome)
             // Several values may be refused for their number, which says nothing of what others write.
-            if (changes.size == 1) limits.refused(changes)
-            tried = if (changes.size == 1) limits else tried.withSmallerValues()
+            if (acceptance.size == 1) limits.refused(acceptance.changes)
+            tried = if (acceptance.size == 1) limits else tried.withSmallerValues()
         }
         return refuse(spec.id, 400, TOO_LONG)
     }
@@ -105,12 +104,13 @@
             if (read) current(spec.id, 200) else later("the job is known; its state is being read")
         }
 
-        is TxnOutcome.Refused -> later("the state service does not take changes at the moment")
+        is TxnOutcome.Refused -> later(NO_CHANGES)
 
         is TxnOutcome.Unknown -> {
-            // The job may be stored now, later or never: only reading tells, and 201 needs certainty.
-            val isStored = replica.upToDate(REACH_MS) && jobs[spec.id]?.record?.nonce == record.nonce
-            if (isStored) accepted(spec) else later("the state service did not answer")
+            // The job may be stored now, later or never: only reading tells. By now it may even have ended.
+            val job = if (replica.upToDate(REACH_MS)) jobs[spec.id] else null
+            val isOurs = job?.record?.nonce == record.nonce
+            if (job == null) later(NO_ANSWER) else tell(job, if (isOurs) 201 else 200)
         }
     }
 
@@ -124,50 +124,44 @@
         if (!isJobId(id)) return unknown(id)
         repeat(TRIES) {
             jobs[id]?.let { if (it.outcome != null) return tell(it, 200) }
-            // What is cancelled must be the job as it is: an older version would only be refused.
-            if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later("the state service is away")
+            if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later(STATE_AWAY)
             val job = jobs[id] ?: return unknown(id)
-            if (job.outcome != null) return tell(job, 200)
-            // The version must be that of the state which was looked at: while this waits its turn the job may end, and
-            // with the version of its end the cancellation would take that back.
-            val guard = Guard(Keys.job(id), job.version)
-            val changes = JobChanges.end(job, Final.CANCELLED, wallMs(), limits)
-            if (!client.budget.tryTake(changes.size, SUBMIT_WAIT_MS)) return later("too many changes at the moment")
-            when (val outcome = client.txn(listOf(guard), changes)) {
-                is TxnOutcome.Applied -> {
-                    replica.reach(outcome.revision, REACH_MS)
-                    log.info("{} is cancelled", id)
-                    return status(JobStatus(id, "aborted"), 200)
-                }
-
-                is TxnOutcome.Conflict -> if (!replica.reach(
-                        outcome.revision,
-                        REACH_MS,
-                    )
-                ) {
-                    return later("the state service is slow")
-                }
-
-                is TxnOutcome.Refused -> {
-                    if (!outcome.tooLarge) return later("the state service does not take changes at the moment")
-                    limits.refused(changes)
-                }
-
-                is TxnOutcome.Unknown -> if (!replica.upToDate(
-                        REACH_MS,
-                    )
-                ) {
-                    return later("the state service did not answer")
-                }
-            }
+            // Decided and guarded in one step: while the cancellation waits for its turn, the job may end.
+            val cancellation = JobTransitions.cancel(job, wallMs(), limits) ?: return tell(job, 200)
+            if (!client.budget.tryTake(cancellation.size, SUBMIT_WAIT_MS)) return later(TOO_MANY_CHANGES)
+            cancelled(id, cancellation)?.let { return it }
         }
         return later("the job is changing")
     }
 
+    /** Sends a cancellation; the answer to its user, or null if the job is to be looked at again. */
+    private suspend fun cancelled(id: String, cancellation: GuardedChange): HttpResponse? {
+        when (val outcome = client.txn(cancellation)) {
+            is TxnOutcome.Applied -> {
+                replica.reach(outcome.revision, REACH_MS)
+                log.info("{} is cancelled", id)
+                return status(JobStatus(id, "aborted"), 200)
+            }
+
+            is TxnOutcome.Conflict -> {
+                val read = replica.reach(outcome.revision, REACH_MS)
+                return if (read) null else later("the state service is slow")
+            }
+
+            is TxnOutcome.Refused -> {
+                if (!outcome.tooLarge) return later(NO_CHANGES)
+                limits.refused(cancellation.changes)
+                return null
+            }
+
+            is TxnOutcome.Unknown -> return if (replica.upToDate(REACH_MS)) null else later(NO_ANSWER)
+        }
+    }
+
     /** The state of a job as of now: a final one from memory, any other only once the replica is surely up to date. */
     private suspend fun current(id: String, code: Int): HttpResponse {
         jobs[id]?.let { if (it.outcome != null) return tell(it, code) }
-        if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+        if (!replica.upToDate(BARRIER_MS)) return later(STATE_AWAY)
         val job = jobs[id] ?: return unknown(id)
         return tell(job, code)
     }
@@ -187,7 +181,7 @@
     /** A refusal that is final, given only if no node has accepted a job of this id. */
     private suspend fun refuse(id: String?, code: Int, why: String): HttpResponse {
         if (id != null && isJobId(id)) {
-            if (!replica.upToDate(BARRIER_MS)) return later("the state service is away")
+            if (!replica.upToDate(BARRIER_MS)) return later(STATE_AWAY)
             jobs[id]?.let { return tell(it, 200) }
         }
         return HttpResponse.refusal(code, why)
@@ -214,8 +208,12 @@
 
     private fun done(id: String) = jobs[id]?.final == Final.DONE
 
-    /** A job that awaits a cancelled one is accepted all the same, and cancelled with it. */
+    /**
+     * The answer to a submission that was carried out a moment ago: what the replica shows of it, if it does already. A
+     * job that awaits a cancelled one is accepted all the same, and cancelled with it.
+     */
     private fun accepted(spec: JobSpec): HttpResponse {
+        jobs[spec.id]?.let { return tell(it, 201) }
         val orphaned = spec.awaits.orEmpty().any { jobs[it]?.outcome == Final.CANCELLED }
         return status(JobStatus(spec.id, if (orphaned) "aborted" else "queued"), 201)
     }
@@ -235,6 +233,10 @@
 
         /** Each takes a quarter off the size of a value. */
         const val SIZE_TRIES = 6
+        const val STATE_AWAY = "the state service is away"
+        const val NO_ANSWER = "the state service did not answer"
+        const val NO_CHANGES = "the state service does not take changes at the moment"
+        const val TOO_MANY_CHANGES = "too many changes at the moment"
         const val TOO_LONG = "the description is too long, or Awaits names too many jobs"
     }
 }
--- a/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
+++ b/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
@@ -1,17 +1,15 @@
 package io.otterknot.controller
 
 import io.otterknot.ownership.Ownership
-import io.otterknot.state.Final
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Job
-import io.otterknot.state.JobChanges
 import io.otterknot.state.JobTable
-import io.otterknot.state.Keys
+import io.otterknot.state.JobTransitions
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
 import io.otterknot.state.WriteLimits
-import io.otterknot.wire.Guard
 import org.slf4j.LoggerFactory
 
 /**
@@ -49,18 +47,17 @@
 
     /**
      * Whether to go on with further batches. Some of [chosen] may have been cancelled while earlier batches were
-     * written: with the version of its cancellation as the guard, such a job would be called done after all.
+     * written; what ends them is decided only now, on what they are now.
      */
     private suspend fun finish(homeZone: String, chosen: List<Job>): Boolean {
         val owner = ownership.guard(homeZone) ?: return true
-        val batch = chosen.filter(::isDue)
-        if (batch.isEmpty()) return true
-        val guards = batch.map { Guard(Keys.job(it.id), it.version) } + owner
-        val changes = batch.flatMap { JobChanges.end(it, finalState(it), wallMs(), limits) }
-        budget.takeSpare(changes.size)
-        return when (val outcome = client.txn(guards, changes)) {
+        val ends = chosen.filter(::isDue).mapNotNull { JobTransitions.finish(it, wallMs(), limits) }
+        if (ends.isEmpty()) return true
+        val change = ends.reduce(GuardedChange::plus).onlyWhile(owner)
+        budget.takeSpare(change.size)
+        return when (val outcome = client.txn(change)) {
             is TxnOutcome.Applied -> {
-                log.debug("done or cancelled: {}", batch.map { it.id })
+                log.debug("done or cancelled: {}", change.changes.map { it.key })
                 replica.reach(outcome.revision, REACH_MS)
             }
 
@@ -68,7 +65,7 @@
             is TxnOutcome.Conflict -> replica.reach(outcome.revision, REACH_MS)
 
             is TxnOutcome.Refused -> {
-                if (outcome.tooLarge) limits.refused(changes)
+                if (outcome.tooLarge) limits.refused(change.changes)
                 false
             }
 
@@ -76,8 +73,6 @@
         }
     }
 
-    private fun finalState(job: Job): Final = if (job.dependencies.orphaned) Final.CANCELLED else Final.DONE
-
     private companion object {
         const val REACH_MS = 1_500L
         const val MAX_BATCH = 8
--- a/src/main/kotlin/io/otterknot/controller/MachineTypeRecorder.kt
+++ b/src/main/kotlin/io/otterknot/controller/MachineTypeRecorder.kt
@@ -1,5 +1,6 @@
 package io.otterknot.controller
 
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Keys
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Replica
@@ -7,8 +8,6 @@
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
-import io.otterknot.wire.Guard
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.MachineTypes
 import org.slf4j.LoggerFactory
@@ -24,14 +23,14 @@
 
     suspend fun record(offered: List<MachineType>) {
         replica.awaitLoaded()
-        val entry = replica[Keys.TYPES]
-        val known = entry?.let { decodeRecord(MachineTypes.serializer(), it.value).types }.orEmpty()
+        val stored = replica.snapshot(Keys.TYPES)
+        val known = stored.value?.let { decodeRecord(MachineTypes.serializer(), it).types }.orEmpty()
         if (withoutPrices(known) == withoutPrices(offered)) return
-        val change = Change(put = Keys.TYPES, value = encodeRecord(MachineTypes.serializer(), MachineTypes(offered)))
-        if (!limits.fits(change)) return
+        val change = GuardedChange.put(stored, encodeRecord(MachineTypes.serializer(), MachineTypes(offered)))
+        if (!change.changes.all(limits::fits)) return
         budget.take(1)
         // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
-        val outcome = client.txn(listOf(Guard(Keys.TYPES, entry?.version ?: 0)), listOf(change))
+        val outcome = client.txn(change)
         log.debug("machine types written: {}", outcome)
     }
 
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -5,12 +5,13 @@
 import io.otterknot.placement.PartitionView
 import io.otterknot.state.AllotmentRecord
 import io.otterknot.state.Amount
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
+import io.otterknot.state.Snapshot
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
@@ -35,9 +36,14 @@
     /** Parts and teams with a gift whose outcome is not known: their allotment stays lowered meanwhile. */
     private val giving = HashSet<Pair<String, String>>()
 
-    fun of(team: String): AllotmentRecord =
-        replica[Keys.allotment(team)]?.let { decodeRecord(AllotmentRecord.serializer(), it.value) }
-            ?: teams.first { it.name == team }.let { AllotmentRecord.even(zones, it.cpusMax, it.gpusMax) }
+    fun of(team: String): AllotmentRecord = snapshot(team).value ?: even(team)
+
+    private fun snapshot(team: String): Snapshot<AllotmentRecord> =
+        replica.snapshot(Keys.allotment(team)).map { decodeRecord(AllotmentRecord.serializer(), it) }
+
+    /** What holds until something has been given. */
+    private fun even(team: String): AllotmentRecord =
+        teams.first { it.name == team }.let { AllotmentRecord.even(zones, it.cpusMax, it.gpusMax) }
 
     fun changed(team: String) {
         if (teams.none { it.name == team }) return
@@ -68,17 +74,16 @@
     }
 
     private suspend fun give(partition: Partition, team: String, to: String, amount: Amount) {
-        val key = Keys.allotment(team)
-        val entry = replica[key]
-        val record = of(team)
+        val stored = snapshot(team)
+        val record = stored.value ?: even(team)
         val mine = record.byZone[partition.zone] ?: return
         val value = encodeRecord(AllotmentRecord.serializer(), record.moved(partition.zone, to, amount))
-        val change = Change(put = key, value = value)
-        if (!limits.fits(change)) return
+        val change = GuardedChange.put(stored, value)
+        if (!change.changes.all(limits::fits)) return
         giving.add(partition.zone to team)
         partition.allot(team, mine - amount)
         try {
-            val settled = txn.settle(partition, entry?.version ?: 0, change)
+            val settled = txn.settle(partition, change)
             log.info("{} gives {} of {} to {}: {}", partition.zone, amount, team, to, settled)
         } finally {
             giving.remove(partition.zone to team)
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -3,12 +3,8 @@
 import io.otterknot.placement.Partition
 import io.otterknot.placement.PartitionJob
 import io.otterknot.placement.PartitionView
-import io.otterknot.state.JobRecord
-import io.otterknot.state.Keys
-import io.otterknot.state.Spans
+import io.otterknot.state.JobTransitions
 import io.otterknot.state.WriteLimits
-import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
 import io.otterknot.wire.JobSpec
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
@@ -73,19 +69,13 @@
     }
 
     private suspend fun move(partition: Partition, held: PartitionJob, tasks: BitSet, zone: String) {
-        val record = held.job.record
-        val version = held.job.version
-        if (record?.spec == null) return
-        val spans = Spans.move(record.spans, tasks, zone)
-        val key = Keys.job(held.id)
-        val value = encodeRecord(JobRecord.serializer(), record.copy(spans = spans))
-        val change = Change(put = key, value = value)
-        // What is cut into too many pieces stays where it is: a value that is too large would be refused.
-        if (spans.size > MAX_SPANS || !limits.fits(change)) {
+        val change = JobTransitions.handOver(held.job, tasks, zone)
+        // A value that is too large would be refused.
+        if (change == null || !change.changes.all(limits::fits)) {
             partition.settleHandover(held, tasks)
             return
         }
-        val settled = txn.settle(partition, version, change)
+        val settled = txn.settle(partition, change)
         if (settled == OwnerTxn.Settled.PART_LOST) return
         log.debug("{}: {} tasks of {} to {}: {}", partition.zone, tasks.cardinality(), held.id, zone, settled)
         partition.settleHandover(held, tasks)
@@ -98,6 +88,5 @@
         const val LONG_MS = 45_000L
         const val SMALL_GAP = 0.02
         const val ROOMY = 0.97
-        const val MAX_SPANS = 48
     }
 }
--- a/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
+++ b/src/main/kotlin/io/otterknot/ownership/OwnerTxn.kt
@@ -1,12 +1,12 @@
 package io.otterknot.ownership
 
 import io.otterknot.placement.Partition
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Keys
 import io.otterknot.state.Replica
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
 import io.otterknot.state.WriteLimits
-import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
 import kotlin.random.Random
@@ -23,19 +23,20 @@
     enum class Settled { APPLIED, NOT_APPLIED, PART_LOST }
 
     /**
-     * Sends [change], guarded by its key's [version] and the partition's key, until it is applied or surely never will
+     * Sends [change], guarded by the partition's key besides, until it is applied or surely never will
      * be, and waits until the replica shows which. A missing answer is settled by the same transaction again: it
      * applies, or the key has changed, by the first one carried out after all or by another; a late one is then ruled
      * out. One that is refused for its size is not carried out. If an earlier try of it had no answer, that one may
      * still be, and nothing else rules it out: the partition is then claimed anew, under a token that its guard does
      * not know.
      */
-    suspend fun settle(partition: Partition, version: Long, change: Change): Settled {
+    suspend fun settle(partition: Partition, change: GuardedChange): Settled {
         val owner = Guard(Keys.partition(partition.zone), partition.token)
+        val owned = change.onlyWhile(owner)
         var unanswered = false
         while (partitions[partition.zone] === partition) {
             client.budget.takeSpare(1, lesser = true)
-            when (val outcome = client.txn(listOf(Guard(change.key, version), owner), listOf(change))) {
+            when (val outcome = client.txn(owned)) {
                 is TxnOutcome.Applied -> return shown(outcome.revision, partition, Settled.APPLIED)
 
                 is TxnOutcome.Conflict -> {
@@ -45,7 +46,7 @@
 
                 is TxnOutcome.Refused -> {
                     if (outcome.tooLarge) {
-                        limits.refused(listOf(change))
+                        limits.refused(change.changes)
                         if (!unanswered) return Settled.NOT_APPLIED
                         ownership.superseded(partition.zone)
                     }
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -1,14 +1,15 @@
 package io.otterknot.ownership
 
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Keys
 import io.otterknot.state.PartitionRecord
 import io.otterknot.state.RenewOutcome
 import io.otterknot.state.Replica
+import io.otterknot.state.Snapshot
 import io.otterknot.state.StateClient
 import io.otterknot.state.TxnOutcome
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.JsonPrimitive
@@ -68,8 +69,6 @@
     /** Until when an earlier owner of [zone], claimed from it without its doing, may still act. */
     val overrides = OverrideMarks(ttlMs, nowMs)
 
-    private fun overrideMark(zone: String) = Change(put = Keys.override(zone), value = JsonPrimitive(incarnation))
-
     /** The token of [zone] whether or not the fence holds; guards of transactions need no fence. */
     fun claimed(zone: String): Long? = tokens[zone]
 
@@ -149,22 +148,14 @@
         if (asked.isEmpty()) return client.revisionAtOnce()
         client.budget.takeAtOnce()
         return when (
-            val outcome = client.txn(
-                asked.map { (zone, token) ->
-                    Guard(Keys.partition(zone), token)
-                },
-                emptyList(),
-            )
+            val outcome = client.compare(asked.map { (zone, token) -> Guard(Keys.partition(zone), token) })
         ) {
             is TxnOutcome.Applied -> outcome.revision
 
             is TxnOutcome.Conflict -> {
                 for ((zone, token) in asked) {
-                    if (Keys.partition(zone) in outcome.failed &&
-                        tokens[zone] == token
-                    ) {
-                        superseded(zone)
-                    }
+                    val isLost = Keys.partition(zone) in outcome.failed
+                    if (isLost && tokens[zone] == token) superseded(zone)
                 }
                 null
             }
@@ -196,7 +187,7 @@
         onLoss(zone)
         client.budget.take(1)
         // If this is lost, the key still shows this node's label, and this node claims the partition again.
-        client.txn(listOf(Guard(Keys.partition(zone), token)), listOf(Change(remove = Keys.partition(zone))))
+        client.txn(GuardedChange.remove(Snapshot(Keys.partition(zone), zone, token)))
         yieldedMs[zone] = nowMs()
     }
 
@@ -208,14 +199,13 @@
         val owners = zones.mapNotNull { zone -> ownerOf(zone)?.let { zone to it } }
         val busy = owners.groupBy({ it.second }, { it.first }).filter { it.value.size >= TOO_MANY }
         val mine = busy.entries.flatMap { (owner, owned) -> owned.map { it to owner } }
-        return mine.minByOrNull { (zone, _) -> claimRank(zone, zones, label, domains) }?.also { (zone, _) ->
-            askedMs[zone] =
-                nowMs()
-        }
+        val wanted = mine.minByOrNull { (zone, _) -> claimRank(zone, zones, label, domains) } ?: return null
+        askedMs[wanted.first] = nowMs()
+        return wanted
     }
 
     /**
-     * Parts that this node has asked for; should one be given up, it need not wait for nodes that come first otherwise.
+     * Partitions that this node has asked for; should one be given up, it need not wait for nodes that come first otherwise.
      */
     private val askedMs = HashMap<String, Long>()
 
@@ -232,41 +222,53 @@
     }
 
     private suspend fun considerClaim(zone: String, held: Long) {
-        val entry = replica[Keys.partition(zone)]
-        val own = tokens[zone]
-        if (own != null) {
-            // The replica may lag behind the claim; only a newer key, or none after it, takes the partition away.
-            val lost = if (entry != null) entry.version > own else replica.revision >= own
-            if (lost) superseded(zone)
+        val before = partitionKey(zone)
+        if (zone in tokens) {
+            checkStillOwned(zone, before)
             return
         }
-        val now = nowMs()
-        var overriding = false
-        if (entry == null) {
-            if (now - (yieldedMs[zone] ?: Long.MIN_VALUE / 2) < YIELD_MS) return
-            val since = unownedSince.getOrPut(zone) { now }
-            val asked = now - (askedMs[zone] ?: Long.MIN_VALUE / 2) < YIELD_MS
-            val rank = if (asked) 0 else claimRank(zone, zones, label, domains)
-            val owned = tokens.size
-            if (now - since < rank * RANK_MS + (if (rank > 0) owned * OWNED_MS else 0)) return
-        } else {
-            unownedSince.remove(zone)
-            // A key with this node's label that this process did not put is a predecessor's: that process is dead.
-            if (decodeRecord(PartitionRecord.serializer(), entry.value).owner != label) {
-                if (!monitor.isAbandoned(zone, tokens.size, now)) return
-                overriding = true
-                log.info("{} does not answer its workers; taking {} over", ownerOf(zone), zone)
-            }
+        val holder = before.value
+        if (holder == null) {
+            if (isMyTurn(zone, nowMs())) claim(zone, before, held, overriding = false)
+            return
         }
-        val key = Keys.partition(zone)
+        unownedSince.remove(zone)
+        // A key with this node's label that this process did not put is a predecessor's: that process is dead.
+        val overriding = holder.owner != label
+        if (overriding) {
+            if (!monitor.isAbandoned(zone, tokens.size, nowMs())) return
+            log.info("{} does not answer its workers; taking {} over", holder.owner, zone)
+        }
+        claim(zone, before, held, overriding)
+    }
+
+    private fun partitionKey(zone: String): Snapshot<PartitionRecord> =
+        replica.snapshot(Keys.partition(zone)).map { decodeRecord(PartitionRecord.serializer(), it) }
+
+    /** The replica may lag behind the claim; only a newer key, or none after it, takes the partition away. */
+    private fun checkStillOwned(zone: String, shown: Snapshot<PartitionRecord>) {
+        val own = tokens[zone] ?: return
+        val isLost = if (shown.value != null) shown.version > own else replica.revision >= own
+        if (isLost) superseded(zone)
+    }
+
+    /** Whether this node's turn has come to take the unowned partition of [zone]. */
+    private fun isMyTurn(zone: String, now: Long): Boolean {
+        if (now - (yieldedMs[zone] ?: Long.MIN_VALUE / 2) < YIELD_MS) return false
+        val since = unownedSince.getOrPut(zone) { now }
+        val asked = now - (askedMs[zone] ?: Long.MIN_VALUE / 2) < YIELD_MS
+        val rank = if (asked) 0 else claimRank(zone, zones, label, domains)
+        val behindOthersMs = if (rank > 0) tokens.size * OWNED_MS else 0
+        return now - since >= rank * RANK_MS + behindOthersMs
+    }
+
+    /** Claims the partition of [zone] as it was [before], on the lease [held]. */
+    private suspend fun claim(zone: String, before: Snapshot<PartitionRecord>, held: Long, overriding: Boolean) {
         val record = encodeRecord(PartitionRecord.serializer(), PartitionRecord(label, incarnation))
-        client.budget.take(if (overriding) 2 else 1)
-        val claim = Change(put = key, value = record, lease = held)
-        val outcome = client.txn(
-            listOf(Guard(key, entry?.version ?: 0)),
-            if (overriding) listOf(claim, overrideMark(zone)) else listOf(claim),
-        )
-        when (outcome) {
+        val plain = GuardedChange.put(before, record, lease = held)
+        val claim = if (overriding) plain.andPut(Keys.override(zone), JsonPrimitive(incarnation)) else plain
+        client.budget.take(claim.size)
+        when (val outcome = client.txn(claim)) {
             is TxnOutcome.Applied -> {
                 tokens[zone] = outcome.revision
                 unownedSince.remove(zone)
--- a/src/main/kotlin/io/otterknot/state/Contact.kt
+++ b/src/main/kotlin/io/otterknot/state/Contact.kt
@@ -89,17 +89,11 @@
         checkedMs = nowMs()
         val before = chosen
         var heard = false
-        chosen =
-            (listOfNotNull(before) + relays.shuffled(random)).firstOrNull { relay ->
-                relay.sound().also {
-                    if (it !=
-                        null
-                    ) {
-                        heard = true
-                    }
-                } ==
-                    true
-            }
+        chosen = (listOfNotNull(before) + relays.shuffled(random)).firstOrNull { relay ->
+            val isSound = relay.sound()
+            if (isSound != null) heard = true
+            isSound == true
+        }
         alone = relays.isNotEmpty() && !heard
         if (chosen != null && before == null) log.info("the state service is asked by way of another controller")
         return chosen
@@ -114,13 +108,12 @@
 class StateLink(private val direct: Transport, private val contact: Contact, private val relays: Relays) : Transport {
     override suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
         if (contact.lost.value) carry(method, target, body, timeoutMs)?.let { return it }
-        val reply = if (method ==
-            "GET"
-        ) {
-            readStraight(target, timeoutMs)
-        } else {
-            direct.call(method, target, body, timeoutMs).also(contact::note)
-        }
+        val reply =
+            if (method == "GET") {
+                readStraight(target, timeoutMs)
+            } else {
+                direct.call(method, target, body, timeoutMs).also(contact::note)
+            }
         // A 503 was not carried out, so the same may be asked again on the way round.
         val again = contact.lost.value && (reply == null || (reply is Reply.Answer && reply.status == 503))
         return (if (again) carry(method, target, body, timeoutMs) else null) ?: reply
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -1,12 +1,14 @@
 package io.otterknot.state
 
 import io.otterknot.wire.JobSpec
+import org.slf4j.LoggerFactory
 import java.util.BitSet
 
 /** What the replica says of one job. */
 class Job(val id: String) {
-    var record: JobRecord? = null
-    var version: Long = 0
+    /** Its own key as last read, record and version together; null: not read yet. */
+    var stored: Snapshot<JobRecord>? = null
+    val record: JobRecord? get() = stored?.value
     val done = BitSet()
 
     /** What it awaits, and what follows from that; see [Pipelines]. */
@@ -29,6 +31,7 @@
 
 /** All jobs ever accepted; final ones are kept without their description. */
 class JobTable {
+    private val log = LoggerFactory.getLogger(JobTable::class.java)
     private val jobs = HashMap<String, Job>()
     private val segments = HashMap<String, DoneRecord>()
     private val pipelines = Pipelines { jobs[it] }
@@ -42,9 +45,11 @@
     fun changeJob(key: String, entry: Entry?): List<Job> {
         val job = known(key.substring(Keys.JOBS.length))
         if (entry == null) return listOf(job)
-        val ended = job.final != null
-        job.record = decodeRecord(JobRecord.serializer(), entry.value)
-        job.version = entry.version
+        val earlier = job.final
+        val ended = earlier != null
+        job.stored = Snapshot(key, decodeRecord(JobRecord.serializer(), entry.value), entry.version)
+        // No transition leads here. Versions before this one could do it, see docs/incidents/went-back.md.
+        if (ended && job.final != earlier) log.error("{} was {} and is {} now", job.id, earlier, job.final)
         if (job.live) {
             live[job.id] = job
         } else {
--- a/src/main/kotlin/io/otterknot/state/Replica.kt
+++ b/src/main/kotlin/io/otterknot/state/Replica.kt
@@ -18,8 +18,9 @@
 class Entry(val value: JsonElement, val version: Long)
 
 /**
- * A copy of everything this service keeps in the state service, changed only by the watch and so always one state
- * that the store once had, at [revision]. Own transactions show here when the watch brings them, never before.
+ * A copy of everything this service keeps in the state service: every key is as it was at [revision] or, after all has
+ * been read page by page, later; no key ever goes back. Only the watch and such a reading change it, so own transactions
+ * show here when the watch brings them, never before.
  */
 class Replica(
     private val client: StateClient,
@@ -38,6 +39,7 @@
     /** Told once a batch of changes has been applied. */
     var onBatch: () -> Unit = {}
 
+    /** Every change up to this revision is in the copy. */
     val revision: Long get() = reached.value
     val loaded: Boolean get() = reached.value >= 0
 
@@ -47,6 +49,10 @@
 
     operator fun get(key: String): Entry? = entries[key]
 
+    /** What [key] holds now, to decide a change of it on. */
+    fun snapshot(key: String): Snapshot<JsonElement> =
+        entries[key]?.let { Snapshot(key, it.value, it.version) } ?: Snapshot.absent(key)
+
     fun under(prefix: String): List<Pair<String, Entry>> =
         entries.tailMap(prefix).entries.takeWhile { it.key.startsWith(prefix) }.map { it.key to it.value }
 
@@ -133,6 +139,10 @@
             if (!page.more || page.items.isEmpty()) break
             after = page.items.last().key
         }
+        if (start < reached.value) {
+            log.error("read revision {} after revision {}: ignored, since nothing may go back", start, reached.value)
+            return false
+        }
         val gone = entries.keys.filter { it !in seen }
         for (key in gone) {
             entries.remove(key)
@@ -180,12 +190,9 @@
         if (!loaded) return false
         val place = barrier.enter()
         val began = nowMs()
-        return (withTimeoutOrNull(timeoutMs) { place.await() } ?: false).also {
-            client.figures.took(
-                "barrier",
-                nowMs() - began,
-            )
-        }
+        val caughtUp = withTimeoutOrNull(timeoutMs) { place.await() } ?: false
+        client.figures.took("barrier", nowMs() - began)
+        return caughtUp
     }
 
     /** Serves the barrier until cancelled. */
--- a/src/main/kotlin/io/otterknot/state/StateClient.kt
+++ b/src/main/kotlin/io/otterknot/state/StateClient.kt
@@ -75,8 +75,13 @@
         return parse(Revision.serializer(), reply)?.revision
     }
 
-    /** The caller has taken its place in [budget]. */
-    suspend fun txn(guards: List<Guard>, changes: List<Change>): TxnOutcome {
+    /** Carries [change] out if all its guards hold. The caller has taken its place in [budget]. */
+    suspend fun txn(change: GuardedChange): TxnOutcome = send(change.guards, change.changes)
+
+    /** Whether all of [guards] hold at some moment after the call. The caller has taken its place in [budget]. */
+    suspend fun compare(guards: List<Guard>): TxnOutcome = send(guards, emptyList())
+
+    private suspend fun send(guards: List<Guard>, changes: List<Change>): TxnOutcome {
         figures.count("transactions")
         figures.count("changes", changes.size)
         val body = WireJson.encodeToString(Txn.serializer(), Txn(guards, changes)).encodeToByteArray()
--- a/src/main/kotlin/io/otterknot/state/WriteLimits.kt
+++ b/src/main/kotlin/io/otterknot/state/WriteLimits.kt
@@ -1,6 +1,7 @@
 package io.otterknot.state
 
 import io.otterknot.wire.Change
+import kotlinx.serialization.json.JsonElement
 import okio.utf8Size
 import org.slf4j.LoggerFactory
 
@@ -55,4 +56,7 @@
 }
 
 /** The bytes of the value that is put; 0 for a removal. */
-val Change.valueBytes: Int get() = value?.toString()?.utf8Size()?.toInt() ?: 0
+val Change.valueBytes: Int get() = value?.utf8Bytes ?: 0
+
+/** The bytes that it takes as a value. */
+internal val JsonElement.utf8Bytes: Int get() = toString().utf8Size().toInt()
--- a/src/main/kotlin/io/otterknot/state/Writer.kt
+++ b/src/main/kotlin/io/otterknot/state/Writer.kt
@@ -1,6 +1,5 @@
 package io.otterknot.state
 
-import io.otterknot.wire.Change
 import io.otterknot.wire.Guard
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.JsonElement
@@ -12,7 +11,11 @@
  * writes must come first, or in the same transaction, as this one gives up what they take.
  */
 class PendingWrite(val key: String, val value: JsonElement?, val after: Set<String> = emptySet()) {
-    fun toChange(): Change = if (value == null) Change(remove = key) else Change(put = key, value = value)
+    /** The change to it from [before]. */
+    fun from(before: Snapshot<*>): GuardedChange =
+        if (value == null) GuardedChange.remove(before) else GuardedChange.put(before, value)
+
+    val valueBytes: Int get() = value?.utf8Bytes ?: 0
 }
 
 /**
@@ -40,20 +43,19 @@
     suspend fun write(owner: Guard, writes: List<PendingWrite>, onGuardLost: () -> Unit): Boolean {
         val batch = nextBatch(writes)
         if (batch.isEmpty()) return false
-        val changes = batch.map(PendingWrite::toChange)
-        val guards = batch.map { Guard(it.key, replica[it.key]?.version ?: 0) } + owner
-        client.budget.takeSpare(changes.size)
-        when (val outcome = client.txn(guards, changes)) {
+        val change = batch.map { it.from(replica.snapshot(it.key)) }.reduce(GuardedChange::plus).onlyWhile(owner)
+        client.budget.takeSpare(change.size)
+        when (val outcome = client.txn(change)) {
             is TxnOutcome.Applied -> replica.reach(outcome.revision, REACH_MS)
 
             is TxnOutcome.Conflict -> {
-                log.debug("batch of {} refused by {}", changes.size, outcome.failed)
+                log.debug("batch of {} refused by {}", change.size, outcome.failed)
                 if (owner.key in outcome.failed) onGuardLost() else replica.reach(outcome.revision, REACH_MS)
             }
 
             is TxnOutcome.Refused, is TxnOutcome.Unknown -> {
-                log.info("batch of {} not written: {}", changes.size, outcome)
-                if (outcome is TxnOutcome.Refused && outcome.tooLarge) refusedForSize(batch)
+                log.info("batch of {} not written: {}", change.size, outcome)
+                if (outcome is TxnOutcome.Refused && outcome.tooLarge) refusedForSize(batch, change)
                 delay(PAUSE_MS + random.nextLong(PAUSE_JITTER_MS))
             }
         }
@@ -72,7 +74,7 @@
                 passedOver.add(write.key)
                 continue
             }
-            val size = write.key.length * 2 + CHANGE_OVERHEAD_BYTES + write.toChange().valueBytes
+            val size = write.key.length * 2 + CHANGE_OVERHEAD_BYTES + write.valueBytes
             if (batch.size >= mostChanges || (batch.isNotEmpty() && bytes + size > MAX_BYTES)) break
             batch.add(write)
             bytes += size
@@ -87,8 +89,8 @@
         return false
     }
 
-    private fun refusedForSize(batch: List<PendingWrite>) {
-        limits.refused(batch.map(PendingWrite::toChange))
+    private fun refusedForSize(batch: List<PendingWrite>, change: GuardedChange) {
+        limits.refused(change.changes)
         val single = batch.singleOrNull() ?: return
         setAside[single.key] = SetAside(single, nowMs() + SET_ASIDE_MS)
     }
--- a/src/test/kotlin/io/otterknot/FormatTest.kt
+++ b/src/test/kotlin/io/otterknot/FormatTest.kt
@@ -8,9 +8,9 @@
 import io.otterknot.state.Entry
 import io.otterknot.state.Final
 import io.otterknot.state.Job
-import io.otterknot.state.JobChanges
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
+import io.otterknot.state.JobTransitions
 import io.otterknot.state.Keys
 import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
@@ -82,8 +82,9 @@
     /** Production drops what it does not know: nothing that it relies on may stand there. */
     @Test
     fun `records as they are written now are what production expects, without what it drops`() {
-        val job = Job("j-000412").also { it.record = decodeRecord(JobRecord.serializer(), productionJob) }
-        val end = JobChanges.end(job, Final.DONE, 5_000, WriteLimits(2_048, 6)).single()
+        val job = Job("j-000412").also { it.take(decodeRecord(JobRecord.serializer(), productionJob)) }
+        job.done.set(0, job.spec!!.tasks)
+        val end = JobTransitions.finish(job, 5_000, WriteLimits(2_048, 6))!!.changes.single()
         assertEquals(json("""{"a":[],"t":0,"x":"d","c":16}"""), ProductionCodec.record(end.key, end.value!!))
         val waiting = JobRecord(
             JobSpec(
--- a/src/test/kotlin/io/otterknot/JobFinisherTest.kt
+++ b/src/test/kotlin/io/otterknot/JobFinisherTest.kt
@@ -51,14 +51,15 @@
         while (ownership.token("a") == null) delay(50)
         val completions = DoneRecord(ids.associateWith { "AQ" })
         val done = Change(put = Keys.done("a", "1-0"), value = encodeRecord(DoneRecord.serializer(), completions))
-        bench.otherClient.txn(emptyList(), ids.map { put(it, JobRecord(spec(it), listOf(Span("a", 0, 1)))) } + done)
+        val accepted = ids.map { put(it, JobRecord(spec(it), listOf(Span("a", 0, 1)))) }
+        bench.state.store(*accepted.toTypedArray(), done)
         delay(500)
         val finisher =
             JobFinisher(client, replica, jobs, ownership, bench.budget, WriteLimits(8_192, 1), bench.now)
         val finishing = launch { finisher.finishAll() }
         // One change at a time, and two of them a second: the last one's turn comes later.
         delay(700)
-        bench.otherClient.txn(emptyList(), listOf(put(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1))))
+        bench.state.store(put(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1)))
         finishing.join()
         val finals = ids.map { decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(it))!!).final }
         assertEquals(List(5) { Final.DONE } + Final.CANCELLED, finals)
--- a/src/test/kotlin/io/otterknot/PartitionTest.kt
+++ b/src/test/kotlin/io/otterknot/PartitionTest.kt
@@ -50,11 +50,12 @@
         priority: Priority = Priority.HIGH,
         team: String = "red",
     ) = Job("j-%06d".format(id)).also {
-        it.record =
+        it.take(
             JobRecord(
                 JobSpec(it.id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0),
                 listOf(Span("a", 0, tasks)),
-            )
+            ),
+        )
     }
 
     private fun Partition.hear(
@@ -212,7 +213,7 @@
         partition.updateJob(job, inherited = false)
         val starts = partition.hear("m1", 7, 10).starts()
         assertEquals(4, starts.size)
-        job.record = JobRecord(final = Final.CANCELLED)
+        job.take(JobRecord(final = Final.CANCELLED), 2)
         partition.updateJob(job, inherited = false)
         val commands = partition.hear("m1", 7, 20, *starts.map { it.shown() }.toTypedArray()).commands()
         assertEquals(List(4) { "halt" }, commands.map { it.op })
@@ -272,7 +273,7 @@
                 }.toTypedArray(),
             )
         }
-        job.record = JobRecord(final = Final.CANCELLED)
+        job.take(JobRecord(final = Final.CANCELLED), 2)
         partition.updateJob(job, inherited = false)
         partition.sweep(9_000)
         assertEquals(emptyList<String>(), partition.hung(9_000, 20_000))
@@ -505,8 +506,7 @@
         partition.updateJob(job(1, 500, cores = 1.0), inherited = false)
         partition.updateJob(
             job(2, 500, cores = 1.0, priority = Priority.BEST_EFFORT, team = "blue").also {
-                it.record =
-                    it.record!!.copy(submittedMs = 1)
+                it.take(it.record!!.copy(submittedMs = 1))
             },
             inherited = false,
         )
--- a/src/test/kotlin/io/otterknot/PipelineTest.kt
+++ b/src/test/kotlin/io/otterknot/PipelineTest.kt
@@ -10,9 +10,9 @@
 import io.otterknot.state.DoneRecord
 import io.otterknot.state.Entry
 import io.otterknot.state.Final
-import io.otterknot.state.JobChanges
 import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
+import io.otterknot.state.JobTransitions
 import io.otterknot.state.Keys
 import io.otterknot.state.Span
 import io.otterknot.state.WriteLimits
@@ -282,11 +282,10 @@
 
     private fun list(count: Int) = List(count) { "j-%06d".format(it * 37) }
 
-    private fun accepted(awaits: List<String>, limits: WriteLimits): List<Change>? = JobChanges.accept(
-        Keys.job(id(1)),
+    private fun accepted(awaits: List<String>, limits: WriteLimits): List<Change>? = JobTransitions.accept(
         JobRecord(spec(1, emptyList()).copy(awaits = awaits), listOf(Span("a", 0, 2))),
         limits,
-    )
+    )?.changes
 
     @Test
     fun `a long list is written in keys of its own in one transaction, and is read whole or not at all`() {
@@ -311,7 +310,7 @@
                 if (index == order.size - 1) assertEquals(list(900).toSet(), read[id(1)]!!.dependencies.ids)
             }
             // Its end removes them, and does not depend on what they held.
-            val ending = JobChanges.end(read[id(1)]!!, Final.CANCELLED, 7, limits)
+            val ending = JobTransitions.cancel(read[id(1)]!!, 7, limits)!!.changes
             assertEquals(changes.map { it.key }.toSet(), ending.map { it.key }.toSet())
             assertEquals(Final.CANCELLED, decodeRecord(JobRecord.serializer(), ending.first().value!!).final)
         }
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -168,7 +168,7 @@
     }
 
     private fun waiting(spec: JobSpec, submittedMs: Long) =
-        PartitionJob(Job(spec.id).also { it.record = JobRecord(spec, submittedMs = submittedMs) }, spec, 0)
+        PartitionJob(Job(spec.id).also { it.take(JobRecord(spec, submittedMs = submittedMs)) }, spec, 0)
 
     @ParameterizedTest
     @CsvSource("1,0", "9,1", "25,2", "53,2", "56,4", "70,4", "95,5")
--- a/src/test/kotlin/io/otterknot/ReplicaTest.kt
+++ b/src/test/kotlin/io/otterknot/ReplicaTest.kt
@@ -1,5 +1,6 @@
 package io.otterknot
 
+import io.otterknot.http.Reply
 import io.otterknot.http.Transport
 import io.otterknot.state.Figures
 import io.otterknot.state.RateBudget
@@ -7,6 +8,7 @@
 import io.otterknot.state.StateClient
 import io.otterknot.wire.Change
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
@@ -14,6 +16,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import kotlin.random.Random
@@ -31,7 +34,6 @@
         runTest {
             val now = { testScheduler.currentTime }
             val state = StateStandIn(this, Random(1), now)
-            val writer = StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
             var requests = 0
             val link = state.link("n")
             val counted = Transport { method, target, body, timeoutMs ->
@@ -47,7 +49,7 @@
             val before = requests
             val waits = ArrayList<Long>()
             repeat(40) {
-                writer.txn(emptyList(), listOf(Change(put = "o/x/a", value = JsonPrimitive(it))))
+                state.store(Change(put = "o/x/a", value = JsonPrimitive(it)))
                 launch {
                     val entered = currentTime
                     replica.upToDate(5_000)
@@ -61,4 +63,59 @@
             assertEquals(emptyList<Long>(), waits.filter { it > mostMs })
             background.forEach { it.cancel() }
         }
+
+    /** The read under way may have been carried out before the later question came. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `a barrier that is entered while another's read is on its way waits for a read of its own`() = runTest {
+        var answerMs = 0L
+        val bench = StateBench(this) { service ->
+            val link = service.link("n")
+            Transport { method, target, body, timeoutMs ->
+                link.call(method, target, body, timeoutMs).also { if (target == "/store/o/none") delay(answerMs) }
+            }
+        }
+        val replica = bench.replica
+        val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
+        replica.awaitLoaded()
+        answerMs = 400
+        val first = async { replica.upToDate(5_000) }
+        delay(100)
+        // Nothing of this is shown by the watch before the first barrier is through.
+        bench.state.watchless = "n"
+        bench.state.store(Change(put = "o/x/a", value = JsonPrimitive(7)))
+        val second = async { replica.upToDate(5_000) to replica["o/x/a"]?.value }
+        assertTrue(first.await())
+        bench.state.watchless = null
+        assertEquals(true to JsonPrimitive(7), second.await())
+        background.forEach { it.cancel() }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `reading everything again never takes a key back`() = runTest {
+        var old: Reply? = null
+        val bench = StateBench(this) { service ->
+            val link = service.link("n")
+            Transport { method, target, body, timeoutMs ->
+                val reply = link.call(method, target, body, timeoutMs)
+                if (target.startsWith("/store?")) old ?: reply.also { old = it } else reply
+            }
+        }
+        val replica = bench.replica
+        val shown = ArrayList<Any?>()
+        replica.onChange = { _, entry -> shown.add(entry?.value) }
+        bench.state.store(Change(put = "o/x/a", value = JsonPrimitive(1)))
+        val background = launch { replica.follow() }
+        replica.awaitLoaded()
+        delay(100)
+        bench.state.store(Change(put = "o/x/a", value = JsonPrimitive(2)))
+        delay(1_000)
+        bench.state.keptChanges = 1
+        repeat(3) { bench.state.store(Change(put = "o/x/b", value = JsonPrimitive(it))) }
+        delay(3_000)
+        assertEquals(JsonPrimitive(2), replica["o/x/a"]?.value)
+        assertEquals(listOf<Any?>(JsonPrimitive(1), JsonPrimitive(2)), shown.take(2))
+        background.cancel()
+    }
 }
--- a/src/test/kotlin/io/otterknot/StateBench.kt
+++ b/src/test/kotlin/io/otterknot/StateBench.kt
@@ -2,10 +2,13 @@
 
 import io.otterknot.http.Transport
 import io.otterknot.state.Figures
+import io.otterknot.state.Job
+import io.otterknot.state.JobRecord
 import io.otterknot.state.JobTable
 import io.otterknot.state.Keys
 import io.otterknot.state.RateBudget
 import io.otterknot.state.Replica
+import io.otterknot.state.Snapshot
 import io.otterknot.state.StateClient
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
@@ -25,10 +28,6 @@
     val client = StateClient(transport(state), state.link("n"), budget, Figures(now))
     val replica = Replica(client, Random(1), now, pauseMs = 20)
 
-    /** Another node, which never waits for its turn. */
-    val otherClient =
-        StateClient(state.link("w"), state.link("w"), RateBudget(1_000.0, 1_000.0, now), Figures(now))
-
     /** What the replica says of jobs, from now on. */
     fun readJobs(): JobTable {
         val jobs = JobTable()
@@ -39,3 +38,8 @@
         return jobs
     }
 }
+
+/** The replica now shows [record] under the job's key. */
+fun Job.take(record: JobRecord, version: Long = 1) {
+    stored = Snapshot(Keys.job(id), record, version)
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/SubmitAnswerTest.kt
@@ -0,0 +1,96 @@
+package io.otterknot
+
+import io.otterknot.api.UserApi
+import io.otterknot.config.TeamFacts
+import io.otterknot.http.Reply
+import io.otterknot.http.Transport
+import io.otterknot.placement.PartitionView
+import io.otterknot.state.Final
+import io.otterknot.state.JobRecord
+import io.otterknot.state.Keys
+import io.otterknot.state.Span
+import io.otterknot.state.WriteLimits
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.JobStatus
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
+import io.otterknot.wire.WireJson
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.random.Random
+
+/** What is answered to a submission whose transaction was answered late or not at all, while the job went on. */
+class SubmitAnswerTest {
+    private val id = "j-000001"
+    private val spec = JobSpec(
+        id, "k", "red", Priority.HIGH, 1, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
+    )
+
+    private fun put(record: JobRecord) =
+        Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
+
+    private fun recordOf(state: String): JobRecord? = when (state) {
+        "DONE", "CANCELLED" -> JobRecord(final = Final.valueOf(state), tasks = 1)
+        "OTHERS" -> JobRecord(spec, listOf(Span("a", 0, 1)), nonce = "another")
+        else -> null
+    }
+
+    /**
+     * [isCarriedOut]: the transaction reaches the state service; [answerMs]: when its answer comes, past the limit it
+     * is lost; [meanwhile]: what somebody else has stored of the job before that.
+     */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @ParameterizedTest
+    @CsvSource(
+        "true, 0, NOTHING, 201, queued",
+        "true, 1500, NOTHING, 201, queued",
+        "true, 1500, DONE, 201, done",
+        "true, 1500, CANCELLED, 201, aborted",
+        "true, 9000, NOTHING, 201, queued",
+        "true, 9000, CANCELLED, 200, aborted",
+        "false, 9000, NOTHING, 503, ",
+        "false, 9000, OTHERS, 200, queued",
+    )
+    fun `the answer is not older than what others were told`(
+        isCarriedOut: Boolean,
+        answerMs: Long,
+        meanwhile: String,
+        status: Int,
+        state: String?,
+    ) = runTest {
+        val bench = StateBench(this) { service ->
+            val link = service.link("n")
+            Transport { method, target, body, timeoutMs ->
+                if (target != "/txn") return@Transport link.call(method, target, body, timeoutMs)
+                val reply = if (isCarriedOut) link.call(method, target, body, timeoutMs) else Reply.None("lost")
+                delay(minOf(answerMs, timeoutMs))
+                if (answerMs < timeoutMs) reply else Reply.None("no answer in time")
+            }
+        }
+        val types = listOf(MachineType("big", 8.0, memoryGb = 64.0, zones = listOf("a")))
+        val api = UserApi(
+            bench.client, bench.replica, bench.readJobs(), emptyMap(), { listOf(PartitionView("a")) }, { types },
+            listOf(TeamFacts("red")), WriteLimits(8_192, 40), { false }, bench.now, Random(1),
+        )
+        val background = listOf(launch { bench.replica.follow() }, launch { bench.replica.serveBarrier() })
+        bench.replica.awaitLoaded()
+        val answer = async { api.submit(submissionBody(spec)) }
+        delay(300)
+        recordOf(meanwhile)?.let { bench.state.store(put(it)) }
+        val response = answer.await()
+        assertEquals(status, response.status)
+        if (state != null) {
+            val told = WireJson.decodeFromString(JobStatus.serializer(), response.body.decodeToString())
+            assertEquals(state, told.state)
+        }
+        background.forEach { it.cancel() }
+    }
+}
--- a/src/test/kotlin/io/otterknot/WithdrawTest.kt
+++ b/src/test/kotlin/io/otterknot/WithdrawTest.kt
@@ -29,7 +29,7 @@
     )
 
     private fun put(record: JobRecord) =
-        listOf(Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record)))
+        Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
 
     /** Found in a drawn day of wisniewski-hunt: users were told "aborted" of jobs that others were told were done. */
     @OptIn(ExperimentalCoroutinesApi::class)
@@ -45,14 +45,14 @@
         )
         val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
         replica.awaitLoaded()
-        bench.otherClient.txn(emptyList(), put(JobRecord(spec, listOf(Span("a", 0, 1)))))
+        bench.state.store(put(JobRecord(spec, listOf(Span("a", 0, 1)))))
         delay(200)
         // The burst is used up, so the cancellation waits for most of a second.
         repeat(7) { launch { bench.budget.tryTake(1, 2_000) } }
         val answer = async { api.withdraw(id) }
         delay(100)
         assertTrue(answer.isActive, "it waits")
-        bench.otherClient.txn(emptyList(), put(JobRecord(final = Final.DONE, tasks = 1)))
+        bench.state.store(put(JobRecord(final = Final.DONE, tasks = 1)))
         assertTrue(answer.await().body.decodeToString().contains("done"))
         val stored = decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(id))!!)
         assertEquals(Final.DONE, stored.final, "at ${testScheduler.currentTime} ms")
--- a/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
+++ b/src/test/kotlin/io/otterknot/WriteLimitsTest.kt
@@ -7,8 +7,10 @@
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Partition
 import io.otterknot.placement.PartitionTimings
+import io.otterknot.state.GuardedChange
 import io.otterknot.state.Keys
 import io.otterknot.state.PendingWrite
+import io.otterknot.state.Snapshot
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
 import io.otterknot.wire.Change
@@ -127,7 +129,7 @@
         )
         partitions["a"] = partition
         val txn = OwnerTxn(bench.client, bench.replica, ownership, partitions, WriteLimits(8_192, 40), Random(1))
-        val settled = txn.settle(partition, 0, Change(put = Keys.job("j-1"), value = value(100)))
+        val settled = txn.settle(partition, GuardedChange.put(Snapshot.absent(Keys.job("j-1")), value(100)))
         assertEquals(expected, settled.name)
         kotlinx.coroutines.delay(2_000)
         val lost = expected == "PART_LOST"
