--- /dev/null
+++ b/src/test/kotlin/io/otterknot/JobTableTest.kt
@@ -0,0 +1,95 @@
+package io.otterknot
+
+import io.otterknot.state.DoneRecord
+import io.otterknot.state.Entry
+import io.otterknot.state.Final
+import io.otterknot.state.JobRecord
+import io.otterknot.state.JobTable
+import io.otterknot.state.JobTransitions
+import io.otterknot.state.Keys
+import io.otterknot.state.Span
+import io.otterknot.state.WriteLimits
+import io.otterknot.state.decodeRecord
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What is said of a job follows from its own key and the segments of completions, in whatever order they are read. */
+class JobTableTest {
+    private val id = "j-000001"
+    private val key = Keys.job(id)
+    private val limits = WriteLimits(8_192, 40)
+    private val spec = JobSpec(
+        id, "k", "red", Priority.HIGH, 2, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
+    )
+
+    private fun record(record: JobRecord, version: Long): (JobTable) -> Unit =
+        { it.changeJob(key, Entry(encodeRecord(JobRecord.serializer(), record), version)) }
+
+    /** A segment of an owner with [token], in which the tasks in [bits] are done. */
+    private fun segment(token: Int, bits: String, version: Long): (JobTable) -> Unit = {
+        val value = encodeRecord(DoneRecord.serializer(), DoneRecord(mapOf(id to bits)))
+        it.changeDone(Keys.done("a", "$token-0"), Entry(value, version))
+    }
+
+    private val accepted = record(JobRecord(spec, listOf(Span("a", 0, 2))), 1)
+    private val firstTask = segment(4, "AQ", 2)
+    private val secondTask = segment(9, "Ag", 3)
+
+    private fun <T> permutations(of: List<T>): List<List<T>> = if (of.isEmpty()) {
+        listOf(emptyList())
+    } else {
+        of.flatMap { first ->
+            permutations(of - first).map {
+                listOf(first) +
+                    it
+            }
+        }
+    }
+
+    @Test
+    fun `a job is complete once its key and all completions are read, of whichever owner and in whatever order`() {
+        for (order in permutations(listOf(accepted, firstTask, secondTask))) {
+            val jobs = JobTable()
+            for ((read, change) in order.withIndex()) {
+                change(jobs)
+                val finish = jobs[id]?.let { JobTransitions.finish(it, 5, limits) }
+                assertEquals(read == order.size - 1, finish != null)
+            }
+            assertEquals(Final.DONE, end(JobTransitions.finish(jobs[id]!!, 5, limits)!!.changes.single().value!!))
+        }
+    }
+
+    private fun end(value: kotlinx.serialization.json.JsonElement) = decodeRecord(JobRecord.serializer(), value).final
+
+    /** Neither completions that are read later nor anybody's wish leads away from a final state. */
+    @Test
+    fun `a job with a final state has no transition left`() {
+        for (final in Final.entries) {
+            val ended = record(JobRecord(final = final, tasks = 2), 7)
+            for (order in permutations(listOf(firstTask, secondTask, ended))) {
+                val jobs = JobTable()
+                accepted(jobs)
+                order.forEach { it(jobs) }
+                val job = jobs[id]!!
+                assertEquals(final, job.outcome)
+                assertNull(JobTransitions.finish(job, 9, limits))
+                assertNull(JobTransitions.cancel(job, 9, limits))
+                assertNull(JobTransitions.handOver(job, java.util.BitSet().apply { set(0) }, "b"))
+            }
+        }
+    }
+
+    @Test
+    fun `a transition keeps the version it was decided on`() {
+        val jobs = JobTable()
+        accepted(jobs)
+        val cancellation = JobTransitions.cancel(jobs[id]!!, 5, limits)!!
+        record(JobRecord(final = Final.DONE, tasks = 2), 6)(jobs)
+        assertTrue(cancellation.guards.single().let { it.key == key && it.version == 1L })
+    }
+}
