--- a/src/test/kotlin/io/otterknot/AnswerOrderTest.kt
+++ b/src/test/kotlin/io/otterknot/AnswerOrderTest.kt
@@ -20,8 +20,8 @@
     fun `no answer is older than one that was given before`(case: Case) = case.play()
 
     companion object {
-        /** The last five broke the rule on the sources before final states were guarded rightly. */
-        private val FIXED_SEEDS = (1L..7L) + listOf(18L, 19L, 24L, 27L, 37L)
+        /** Seeds 8, 21 and 36 broke the rule on the sources before final states were guarded rightly. */
+        private val FIXED_SEEDS = (1L..10L) + listOf(21L, 36L)
         private const val JOBS = 90
         private const val LATEST_FAULT_MS = 9_000L
 
--- a/src/test/kotlin/io/otterknot/JobUsers.kt
+++ b/src/test/kotlin/io/otterknot/JobUsers.kt
@@ -82,9 +82,9 @@
             val withdraw = spec.id in rules.asked && !rules.isCancelled(spec.id)
             val before = rules.told(spec.id)
             val response = if (withdraw) {
-                connection.request("POST", withdrawPath(spec), ByteArray(0), 2_000)
+                connection.request("POST", withdrawPath(spec), ByteArray(0), WRITE_WAIT_MS)
             } else {
-                connection.request("GET", path(spec), ByteArray(0), 2_000)
+                connection.request("GET", path(spec), ByteArray(0), READ_WAIT_MS)
             }
             if (response != null && response.status != 503) answered(spec, response, before)
         }
@@ -93,7 +93,7 @@
     private suspend fun submit(spec: JobSpec, connection: Connection) {
         while (true) {
             val before = rules.told(spec.id)
-            val response = connection.request("POST", "/submissions", submissionBody(spec), 5_000)
+            val response = connection.request("POST", "/submissions", submissionBody(spec), WRITE_WAIT_MS)
             if (response != null && response.status in 200..201) {
                 rules.accepted(spec)
                 answered(spec, response, before)
@@ -130,7 +130,9 @@
     /** One request about an accepted job, to any node, whose answer must not be older than what was told before. */
     private suspend fun askOnce(spec: JobSpec, method: String, path: String, body: ByteArray): Boolean {
         val before = rules.told(spec.id)
-        val response = ask(connect(), method, path, body, 2_000) ?: return false
+        // Some users are less patient and ask elsewhere.
+        val limitMs = if (method == "GET" || random.nextInt(3) == 0) READ_WAIT_MS else WRITE_WAIT_MS
+        val response = ask(connect(), method, path, body, limitMs) ?: return false
         if (response.status == 503) return false
         answered(spec, response, before)
         return true
@@ -163,7 +165,7 @@
 
     /** Somebody asks about a job that nobody has submitted. */
     suspend fun stranger(id: String) {
-        val response = ask(nodes.random(random), "GET", "/submissions/$id", ByteArray(0), 2_000)
+        val response = ask(nodes.random(random), "GET", "/submissions/$id", ByteArray(0), READ_WAIT_MS)
         if (response?.status == 200) rules.broken.add("invented: $id")
     }
 
@@ -172,6 +174,9 @@
     private fun withdrawPath(spec: JobSpec) = "${path(spec)}/withdraw"
 
     private companion object {
+        /** How long users wait for an answer to a question, and to a submission or a cancellation. */
+        const val READ_WAIT_MS = 2_000L
+        const val WRITE_WAIT_MS = 5_000L
         const val CLOSE_LOOKS = 8
         const val CLOSE_LOOK_MS = 400L
     }
