--- a/src/test/kotlin/io/otterknot/JobFinisherTest.kt
+++ b/src/test/kotlin/io/otterknot/JobFinisherTest.kt
@@ -11,8 +11,6 @@
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
 import io.otterknot.wire.Change
-import io.otterknot.wire.JobSpec
-import io.otterknot.wire.Priority
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.currentCoroutineContext
@@ -27,12 +25,6 @@
 class JobFinisherTest {
     private val ids = (1..6).map { "j-%06d".format(it) }
 
-    private fun spec(id: String) =
-        JobSpec(id, "k", "red", Priority.HIGH, 1, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0)
-
-    private fun put(id: String, record: JobRecord) =
-        Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
-
     /** A drawn day of wisniewski-hunt: users were told that jobs were cancelled, and ever after that they were done. */
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
@@ -51,7 +43,7 @@
         while (ownership.token("a") == null) delay(50)
         val completions = DoneRecord(ids.associateWith { "AQ" })
         val done = Change(put = Keys.done("a", "1-0"), value = encodeRecord(DoneRecord.serializer(), completions))
-        val accepted = ids.map { put(it, JobRecord(spec(it), listOf(Span("a", 0, 1)))) }
+        val accepted = ids.map { jobChange(it, JobRecord(smallJob(it), listOf(Span("a", 0, 1)))) }
         bench.state.store(*accepted.toTypedArray(), done)
         delay(500)
         val finisher =
@@ -59,7 +51,7 @@
         val finishing = launch { finisher.finishAll() }
         // One change at a time, and two of them a second: the last one's turn comes later.
         delay(700)
-        bench.state.store(put(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1)))
+        bench.state.store(jobChange(ids.last(), JobRecord(final = Final.CANCELLED, tasks = 1)))
         finishing.join()
         val finals = ids.map { decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(it))!!).final }
         assertEquals(List(5) { Final.DONE } + Final.CANCELLED, finals)
--- a/src/test/kotlin/io/otterknot/JobTableTest.kt
+++ b/src/test/kotlin/io/otterknot/JobTableTest.kt
@@ -11,21 +11,19 @@
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
 import io.otterknot.state.encodeRecord
-import io.otterknot.wire.JobSpec
-import io.otterknot.wire.Priority
+import kotlinx.serialization.json.JsonElement
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.BitSet
 
 /** What is said of a job follows from its own key and the segments of completions, in whatever order they are read. */
 class JobTableTest {
     private val id = "j-000001"
     private val key = Keys.job(id)
     private val limits = WriteLimits(8_192, 40)
-    private val spec = JobSpec(
-        id, "k", "red", Priority.HIGH, 2, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
-    )
+    private val spec = smallJob(id, tasks = 2)
 
     private fun record(record: JobRecord, version: Long): (JobTable) -> Unit =
         { it.changeJob(key, Entry(encodeRecord(JobRecord.serializer(), record), version)) }
@@ -64,7 +62,7 @@
         }
     }
 
-    private fun end(value: kotlinx.serialization.json.JsonElement) = decodeRecord(JobRecord.serializer(), value).final
+    private fun end(value: JsonElement) = decodeRecord(JobRecord.serializer(), value).final
 
     /** Neither completions that are read later nor anybody's wish leads away from a final state. */
     @Test
@@ -79,7 +77,7 @@
                 assertEquals(final, job.outcome)
                 assertNull(JobTransitions.finish(job, 9, limits))
                 assertNull(JobTransitions.cancel(job, 9, limits))
-                assertNull(JobTransitions.handOver(job, java.util.BitSet().apply { set(0) }, "b"))
+                assertNull(JobTransitions.handOver(job, BitSet().apply { set(0) }, "b"))
             }
         }
     }
--- a/src/test/kotlin/io/otterknot/StateBench.kt
+++ b/src/test/kotlin/io/otterknot/StateBench.kt
@@ -10,6 +10,10 @@
 import io.otterknot.state.Replica
 import io.otterknot.state.Snapshot
 import io.otterknot.state.StateClient
+import io.otterknot.state.encodeRecord
+import io.otterknot.wire.Change
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
@@ -43,3 +47,11 @@
 fun Job.take(record: JobRecord, version: Long = 1) {
     stored = Snapshot(Keys.job(id), record, version)
 }
+
+/** A job of [tasks] small tasks that run for a second. */
+fun smallJob(id: String, tasks: Int = 1) =
+    JobSpec(id, "k", "red", Priority.HIGH, tasks, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0)
+
+/** Stores [record] under the key of the job [id]. */
+fun jobChange(id: String, record: JobRecord) =
+    Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
--- a/src/test/kotlin/io/otterknot/SubmitAnswerTest.kt
+++ b/src/test/kotlin/io/otterknot/SubmitAnswerTest.kt
@@ -7,15 +7,10 @@
 import io.otterknot.placement.PartitionView
 import io.otterknot.state.Final
 import io.otterknot.state.JobRecord
-import io.otterknot.state.Keys
 import io.otterknot.state.Span
 import io.otterknot.state.WriteLimits
-import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
-import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobStatus
 import io.otterknot.wire.MachineType
-import io.otterknot.wire.Priority
 import io.otterknot.wire.WireJson
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
@@ -30,12 +25,7 @@
 /** What is answered to a submission whose transaction was answered late or not at all, while the job went on. */
 class SubmitAnswerTest {
     private val id = "j-000001"
-    private val spec = JobSpec(
-        id, "k", "red", Priority.HIGH, 1, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
-    )
-
-    private fun put(record: JobRecord) =
-        Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
+    private val spec = smallJob(id)
 
     private fun recordOf(state: String): JobRecord? = when (state) {
         "DONE", "CANCELLED" -> JobRecord(final = Final.valueOf(state), tasks = 1)
@@ -84,7 +74,7 @@
         bench.replica.awaitLoaded()
         val answer = async { api.submit(submissionBody(spec)) }
         delay(300)
-        recordOf(meanwhile)?.let { bench.state.store(put(it)) }
+        recordOf(meanwhile)?.let { bench.state.store(jobChange(id, it)) }
         val response = answer.await()
         assertEquals(status, response.status)
         if (state != null) {
--- a/src/test/kotlin/io/otterknot/WithdrawTest.kt
+++ b/src/test/kotlin/io/otterknot/WithdrawTest.kt
@@ -7,10 +7,6 @@
 import io.otterknot.state.Span
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.decodeRecord
-import io.otterknot.state.encodeRecord
-import io.otterknot.wire.Change
-import io.otterknot.wire.JobSpec
-import io.otterknot.wire.Priority
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
@@ -24,12 +20,7 @@
 /** A cancellation that has to wait for its turn among the changes. */
 class WithdrawTest {
     private val id = "j-000001"
-    private val spec = JobSpec(
-        id, "k", "red", Priority.HIGH, 1, 1.0, memoryGb = 1.0, image = "i", imageGb = 1.0, estimateS = 1.0,
-    )
-
-    private fun put(record: JobRecord) =
-        Change(put = Keys.job(id), value = encodeRecord(JobRecord.serializer(), record))
+    private val spec = smallJob(id)
 
     /** Found in a drawn day of wisniewski-hunt: users were told "aborted" of jobs that others were told were done. */
     @OptIn(ExperimentalCoroutinesApi::class)
@@ -45,14 +36,14 @@
         )
         val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
         replica.awaitLoaded()
-        bench.state.store(put(JobRecord(spec, listOf(Span("a", 0, 1)))))
+        bench.state.store(jobChange(id, JobRecord(spec, listOf(Span("a", 0, 1)))))
         delay(200)
         // The burst is used up, so the cancellation waits for most of a second.
         repeat(7) { launch { bench.budget.tryTake(1, 2_000) } }
         val answer = async { api.withdraw(id) }
         delay(100)
         assertTrue(answer.isActive, "it waits")
-        bench.state.store(put(JobRecord(final = Final.DONE, tasks = 1)))
+        bench.state.store(jobChange(id, JobRecord(final = Final.DONE, tasks = 1)))
         assertTrue(answer.await().body.decodeToString().contains("done"))
         val stored = decodeRecord(JobRecord.serializer(), bench.state.value(Keys.job(id))!!)
         assertEquals(Final.DONE, stored.final, "at ${testScheduler.currentTime} ms")
