--- a/src/test/kotlin/io/otterknot/ReplicaTest.kt
+++ b/src/test/kotlin/io/otterknot/ReplicaTest.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.serialization.json.JsonPrimitive
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -118,4 +119,20 @@
         assertEquals(listOf<Any?>(JsonPrimitive(1), JsonPrimitive(2)), shown.take(2))
         background.cancel()
     }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `a barrier does not pass while the watch stands still`() = runTest {
+        val bench = StateBench(this)
+        val replica = bench.replica
+        val background = listOf(launch { replica.follow() }, launch { replica.serveBarrier() })
+        replica.awaitLoaded()
+        bench.state.watchless = "n"
+        bench.state.store(Change(put = "o/x/a", value = JsonPrimitive(1)))
+        assertFalse(replica.upToDate(5_000))
+        bench.state.watchless = null
+        assertTrue(replica.upToDate(5_000))
+        assertEquals(JsonPrimitive(1), replica["o/x/a"]?.value)
+        background.forEach { it.cancel() }
+    }
 }
