Reread: the end that follows is decided once, sizes are checked in one place, the partition's key is read one way

A look at a job's outcome in withdraw was dead since JobTransitions.cancel makes it; JobFinisher asked again what JobTransitions.finish decides; a partition this node owns no longer has its record decoded at each look. Behaviour is meant to be the same.

--- a/src/main/kotlin/io/otterknot/api/UserApi.kt
+++ b/src/main/kotlin/io/otterknot/api/UserApi.kt
@@ -123,7 +123,6 @@
     suspend fun withdraw(id: String): HttpResponse {
         if (!isJobId(id)) return unknown(id)
         repeat(TRIES) {
-            jobs[id]?.let { if (it.outcome != null) return tell(it, 200) }
             if (jobs[id] == null && !replica.upToDate(BARRIER_MS)) return later(STATE_AWAY)
             val job = jobs[id] ?: return unknown(id)
             // Decided and guarded in one step: while the cancellation waits for its turn, the job may end.
--- a/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
+++ b/src/main/kotlin/io/otterknot/controller/JobFinisher.kt
@@ -35,7 +35,7 @@
     }
 
     private fun isDue(job: Job): Boolean {
-        if (!job.complete && !job.dependencies.orphaned) return false
+        if (job.unrecordedEnd == null) return false
         return job.record?.homeZone?.let(ownership::claimed) != null
     }
 
--- a/src/main/kotlin/io/otterknot/controller/MachineTypeRecorder.kt
+++ b/src/main/kotlin/io/otterknot/controller/MachineTypeRecorder.kt
@@ -27,7 +27,7 @@
         val known = stored.value?.let { decodeRecord(MachineTypes.serializer(), it).types }.orEmpty()
         if (withoutPrices(known) == withoutPrices(offered)) return
         val change = GuardedChange.put(stored, encodeRecord(MachineTypes.serializer(), MachineTypes(offered)))
-        if (!change.changes.all(limits::fits)) return
+        if (!limits.fits(change)) return
         budget.take(1)
         // One of the nodes that try succeeds; whatever else comes of it, the next answer of the cloud tries again.
         val outcome = client.txn(change)
--- a/src/main/kotlin/io/otterknot/ownership/Allotments.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Allotments.kt
@@ -79,7 +79,7 @@
         val mine = record.byZone[partition.zone] ?: return
         val value = encodeRecord(AllotmentRecord.serializer(), record.moved(partition.zone, to, amount))
         val change = GuardedChange.put(stored, value)
-        if (!change.changes.all(limits::fits)) return
+        if (!limits.fits(change)) return
         giving.add(partition.zone to team)
         partition.allot(team, mine - amount)
         try {
--- a/src/main/kotlin/io/otterknot/ownership/Handover.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Handover.kt
@@ -71,7 +71,7 @@
     private suspend fun move(partition: Partition, held: PartitionJob, tasks: BitSet, zone: String) {
         val change = JobTransitions.handOver(held.job, tasks, zone)
         // A value that is too large would be refused.
-        if (change == null || !change.changes.all(limits::fits)) {
+        if (change == null || !limits.fits(change)) {
             partition.settleHandover(held, tasks)
             return
         }
--- a/src/main/kotlin/io/otterknot/ownership/Ownership.kt
+++ b/src/main/kotlin/io/otterknot/ownership/Ownership.kt
@@ -72,8 +72,7 @@
     /** The token of [zone] whether or not the fence holds; guards of transactions need no fence. */
     fun claimed(zone: String): Long? = tokens[zone]
 
-    fun ownerOf(zone: String): String? =
-        replica[Keys.partition(zone)]?.let { decodeRecord(PartitionRecord.serializer(), it.value).owner }
+    fun ownerOf(zone: String): String? = partitionKey(zone).value?.owner
 
     /** Of all partitions, how many this node may act for now. */
     fun ownedShare(): Double = if (fence.holds(nowMs())) tokens.size.toDouble() / zones.size else 0.0
@@ -222,11 +221,11 @@
     }
 
     private suspend fun considerClaim(zone: String, held: Long) {
-        val before = partitionKey(zone)
         if (zone in tokens) {
-            checkStillOwned(zone, before)
+            checkStillOwned(zone)
             return
         }
+        val before = partitionKey(zone)
         val holder = before.value
         if (holder == null) {
             if (isMyTurn(zone, nowMs())) claim(zone, before, held, overriding = false)
@@ -246,9 +245,10 @@
         replica.snapshot(Keys.partition(zone)).map { decodeRecord(PartitionRecord.serializer(), it) }
 
     /** The replica may lag behind the claim; only a newer key, or none after it, takes the partition away. */
-    private fun checkStillOwned(zone: String, shown: Snapshot<PartitionRecord>) {
+    private fun checkStillOwned(zone: String) {
         val own = tokens[zone] ?: return
-        val isLost = if (shown.value != null) shown.version > own else replica.revision >= own
+        val shown = replica[Keys.partition(zone)]
+        val isLost = if (shown != null) shown.version > own else replica.revision >= own
         if (isLost) superseded(zone)
     }
 
--- a/src/main/kotlin/io/otterknot/state/JobTable.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTable.kt
@@ -22,6 +22,14 @@
     val live: Boolean get() = record?.spec != null && final == null
     val complete: Boolean get() = outcome == null && spec?.let { done.cardinality() >= it.tasks } ?: false
 
+    /** The end that follows from what is durable, as long as it is not recorded. */
+    val unrecordedEnd: Final? get() = when {
+        !live -> null
+        dependencies.orphaned -> Final.CANCELLED
+        complete -> Final.DONE
+        else -> null
+    }
+
     /** Every job that it awaits is durably done, which never turns back. */
     val ready: Boolean get() = dependencies.unmet == 0 && !dependencies.orphaned
 
--- a/src/main/kotlin/io/otterknot/state/JobTransitions.kt
+++ b/src/main/kotlin/io/otterknot/state/JobTransitions.kt
@@ -17,7 +17,7 @@
         val spec = record.spec ?: return null
         val key = Keys.job(spec.id)
         val whole = create(key, encode(record))
-        if (limits.fits(whole.changes.single())) return whole
+        if (limits.fits(whole)) return whole
         val pieces = pieces(spec.awaits ?: return null, limits.valueBytes)
         val main = create(key, encode(record.copy(spec = spec.copy(awaits = null), awaitKeys = pieces.size)))
         val lists = pieces.mapIndexed { number, piece ->
@@ -25,7 +25,7 @@
         }
         val all = lists.reduce(GuardedChange::plus) + main
         val bytes = all.changes.sumOf { it.key.length + it.valueBytes }
-        val fits = limits.fits(main.changes.single()) && all.size <= limits.txnOps && bytes <= limits.txnBytes
+        val fits = limits.fits(main) && all.size <= limits.txnOps && bytes <= limits.txnBytes
         return all.takeIf { fits }
     }
 
@@ -37,12 +37,8 @@
      * Records the outcome that follows from what is durable: done once all its tasks are, cancelled once a job that it
      * awaits is. Null: nothing follows yet, or its end is recorded.
      */
-    fun finish(job: Job, wallMs: Long, limits: WriteLimits): GuardedChange? = when {
-        !job.live -> null
-        job.dependencies.orphaned -> end(job, Final.CANCELLED, wallMs, limits)
-        job.complete -> end(job, Final.DONE, wallMs, limits)
-        else -> null
-    }
+    fun finish(job: Job, wallMs: Long, limits: WriteLimits): GuardedChange? =
+        job.unrecordedEnd?.let { end(job, it, wallMs, limits) }
 
     /** Gives [tasks] to the partition of [zone]. Null: it has an outcome already, or would be cut into too many spans. */
     fun handOver(job: Job, tasks: BitSet, zone: String): GuardedChange? {
--- a/src/main/kotlin/io/otterknot/state/WriteLimits.kt
+++ b/src/main/kotlin/io/otterknot/state/WriteLimits.kt
@@ -26,6 +26,9 @@
 
     fun fits(change: Change): Boolean = change.valueBytes <= valueBytes
 
+    /** Whether each of its values fits. */
+    fun fits(change: GuardedChange): Boolean = change.changes.all(::fits)
+
     /**
      * The state service has refused [changes] as too large. Several changes are halved in number first, as their number
      * may be what is too large; the size of a single one speaks for itself.
