One thread for sockets, timers and decisions; heads read by code that the compiler takes

Cause: a report cost a controller 1.1 ms of processor time on loopback (80 machines, perf by call stack), more than half of it in Ktor's pumps between selector, worker and timer threads, and a tenth in its head parser, which the JVM's client compiler gives up on (block join failed), so that it is interpreted for ever.

Change: io.otterknot.net has an event loop that is dispatcher, timers and selector in one, and sockets on it; HTTP server, client and peers use it.

--- a/src/main/kotlin/io/otterknot/cli/ClassDataWarmup.kt
+++ b/src/main/kotlin/io/otterknot/cli/ClassDataWarmup.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import java.nio.file.Files
+import java.nio.file.Path
+import java.util.jar.JarFile
 import kotlin.random.Random
 
 /**
@@ -17,6 +19,8 @@
  * can be archived. What it answers is of no importance.
  */
 internal object ClassDataWarmup {
+    private const val OWN_CLASSES = "io/otterknot/"
+    private const val CLASS_FILE = ".class"
     private const val SETTINGS = """
 label = "holt-0"
 domain = "a"
@@ -70,10 +74,25 @@
         """"SamePlace":false,"Scatter":false,"Driftwood":true,""" +
         """"GuessS":1.0,"CacheS":0.0,"StashS":0.0,"DueS":null}"""
 
-    fun run(): Int = onLoop { selector ->
-        val stub = HttpServer(selector, 32, MAX_BODY_BYTES) { answer(it.path, it.body.decodeToString()) }
-        val socket = stub.bind("127.0.0.1", 0)
-        val port = (socket.localAddress as io.ktor.network.sockets.InetSocketAddress).port
+    fun run(): Int {
+        loadOwnClasses()
+        return play()
+    }
+
+    /** The run below does not reach every class; what it leaves out would be read from the jar when it is needed. */
+    private fun loadOwnClasses() {
+        val source = Path.of(ClassDataWarmup::class.java.protectionDomain.codeSource.location.toURI())
+        if (!Files.isRegularFile(source)) return
+        JarFile(source.toFile()).use { jar ->
+            jar.stream().map { it.name }.filter { it.startsWith(OWN_CLASSES) && it.endsWith(CLASS_FILE) }
+                .forEach { Class.forName(it.removeSuffix(CLASS_FILE).replace('/', '.'), false, javaClass.classLoader) }
+        }
+    }
+
+    private fun play(): Int = onLoop { loop ->
+        val stub = HttpServer(loop, 32, MAX_BODY_BYTES) { answer(it.path, it.body.decodeToString()) }
+        val listener = stub.bind(HostPort("127.0.0.1", 0))
+        val port = listener.port
         val own = java.net.ServerSocket(0).use { it.localPort }
         val text = SETTINGS.replace(
             "PORT",
@@ -86,9 +105,9 @@
         } finally {
             Files.delete(file)
         }
-        val work = launch { stub.serve(this, socket) }
+        val work = launch { stub.serve(this, listener) }
         val controller = launch {
-            serveOn(selector, settings, Random(1))
+            serveOn(loop, settings, Random(1))
         }
         // Told for the first time a minute after a start, when nobody should wait for its classes.
         Figures { 0 }.apply {
@@ -97,7 +116,7 @@
             countsText()
             timesText()
         }
-        val client = HttpClient(selector, HostPort("127.0.0.1", own))
+        val client = HttpClient(loop, HostPort("127.0.0.1", own))
         repeat(30) { round ->
             delay(50)
             client.call("GET", "/ready", null, 1_000)
--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -1,6 +1,5 @@
 package io.otterknot.cli
 
-import io.ktor.network.selector.SelectorManager
 import io.otterknot.config.BadSettings
 import io.otterknot.config.HostPort
 import io.otterknot.config.Settings
@@ -9,31 +8,25 @@
 import io.otterknot.controller.Links
 import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpServer
+import io.otterknot.net.EventLoop
 import io.otterknot.peer.PeerClient
 import io.otterknot.peer.PeerServer
 import io.otterknot.wire.MAX_BODY_BYTES
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.IO_PARALLELISM_PROPERTY_NAME
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import picocli.CommandLine
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Model.OptionSpec
 import java.nio.file.Path
-import java.util.concurrent.Executors
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
 const val VERSION = "0.1.0"
 
 fun main(args: Array<String>) {
-    // Before the first coroutine, since it is read once only; see onLoop.
-    System.setProperty(IO_PARALLELISM_PROPERTY_NAME, "1")
     val level =
         System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") }
             ?: "info"
@@ -103,56 +96,39 @@
 private const val SOFTWARE = CommandLine.ExitCode.SOFTWARE
 
 /** Runs a controller on real sockets until cancelled. */
-internal suspend fun serveOn(selector: SelectorManager, settings: Settings, random: Random): Unit = coroutineScope {
+internal suspend fun serveOn(loop: EventLoop, settings: Settings, random: Random): Unit = coroutineScope {
     val stateAddress = HostPort.parse("endpoints.state", settings.endpoints.state)
     val links = Links(
-        state = HttpClient(selector, stateAddress, keep = 4),
-        watch = HttpClient(selector, stateAddress, keep = 1),
-        cloud = HttpClient(selector, HostPort.parse("endpoints.cloud", settings.endpoints.cloud), keep = 2),
-        peers = settings.members.associate { it.label to PeerClient(selector, HostPort.parse(it.label, it.endpoint)) },
+        state = HttpClient(loop, stateAddress, keep = 4),
+        watch = HttpClient(loop, stateAddress, keep = 1),
+        cloud = HttpClient(loop, HostPort.parse("endpoints.cloud", settings.endpoints.cloud), keep = 2),
+        peers = settings.members.associate { it.label to PeerClient(loop, HostPort.parse(it.label, it.endpoint)) },
     )
     val controller = Controller(settings, links, random, { System.nanoTime() / 1_000_000 }, System::currentTimeMillis)
     val server =
-        HttpServer(selector, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
+        HttpServer(loop, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
     launch { controller.run() }
-    launch { PeerServer(selector, controller::peer).serve(this, HostPort.parse("peer_listen", settings.peerListen)) }
+    launch { PeerServer(loop, controller::peer).serve(this, HostPort.parse("peer_listen", settings.peerListen)) }
     // Hundreds of workers look for an owner after a crash. Telling each that nothing is known yet would take the little
     // processor time that reading the state needs; a refused connection costs next to nothing and sends them on as
     // well.
     withTimeoutOrNull(LATEST_BIND_MS) { controller.loaded() }
-    val bind = HostPort.parse("bind", settings.bind)
-    val listening = server.bind(bind.host, bind.port)
+    val listener = server.bind(HostPort.parse("bind", settings.bind))
     LoggerFactory.getLogger("otterknot").info("{} in {} listens on {}", settings.label, settings.domain, settings.bind)
-    server.serve(this, listening)
+    server.serve(this, listener)
 }
 
 internal fun serve(
     settings: Settings,
     randomSeed: Long = System.nanoTime() xor settings.label.hashCode().toLong(),
 ): Int = try {
-    onLoop { selector -> serveOn(selector, settings, Random(randomSeed)) }
+    onLoop { loop -> serveOn(loop, settings, Random(randomSeed)) }
     OK
 } catch (e: java.io.IOException) {
     LoggerFactory.getLogger("otterknot").error("cannot run: {}", e.toString())
     SOFTWARE
 }
 
-/**
- * All decisions are taken one at a time. Ktor reads and writes sockets on [Dispatchers.IO], whatever it is told;
- * limited to one coroutine at a time it serves as the loop too, so that a request passes from socket to decision and
- * back without waking another thread: those wakings were most of what a report cost. The selector blocks on a thread of
- * its own.
- */
-internal fun <T> onLoop(work: suspend CoroutineScope.(SelectorManager) -> T): T {
-    check(System.getProperty(IO_PARALLELISM_PROPERTY_NAME) == "1") {
-        "the loop is not limited to one coroutine at a time"
-    }
-    val selecting = Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher()
-    val selector = SelectorManager(selecting)
-    try {
-        return runBlocking(Dispatchers.IO) { work(selector) }
-    } finally {
-        selector.close()
-        selecting.close()
-    }
-}
+/** All decisions are taken one at a time, on the thread that also waits for sockets and timers. */
+internal fun <T> onLoop(work: suspend CoroutineScope.(EventLoop) -> T): T =
+    EventLoop().use { loop -> loop.run { work(loop) } }
--- a/src/main/kotlin/io/otterknot/http/HttpClient.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpClient.kt
@@ -1,46 +1,25 @@
 package io.otterknot.http
 
-import io.ktor.http.cio.parseResponse
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readFully
-import io.ktor.utils.io.writeFully
 import io.otterknot.config.HostPort
+import io.otterknot.net.EventLoop
+import io.otterknot.net.TcpConnection
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 
 /** Requests to one address over a few kept connections, each carrying one request at a time. */
-class HttpClient(private val selector: SelectorManager, private val address: HostPort, private val keep: Int = 3) :
-    Transport {
-    private class Connection(val socket: Socket) {
-        val input: ByteReadChannel = socket.openReadChannel()
-        val output: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
-    }
-
-    private val idle = ArrayDeque<Connection>()
+class HttpClient(private val loop: EventLoop, private val address: HostPort, private val keep: Int = 3) : Transport {
+    private val idle = ArrayDeque<TcpConnection>()
 
     override suspend fun call(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
-        var connection: Connection? = null
+        var connection: TcpConnection? = null
         var whole = false
         try {
             return withTimeout(timeoutMs) {
-                // A kept connection that the other side has closed meanwhile would lose the request.
-                while (idle.isNotEmpty() && idle.first().input.isClosedForRead) idle.removeFirst().socket.close()
-                val used = idle.removeFirstOrNull()
-                    ?: Connection(
-                        aSocket(selector).tcp().connect(address.host, address.port) {
-                            noDelay = true
-                        },
-                    )
+                val used = keptConnection() ?: TcpConnection.open(loop, address)
                 connection = used
-                send(used.output, method, target, body)
-                val (answer, reusable) = receive(used.input)
+                send(used, method, target, body)
+                val (answer, reusable) = receive(used)
                 whole = reusable
                 answer
             }
@@ -51,11 +30,20 @@
         } catch (e: Exception) {
             return Reply.None(e.message ?: e.javaClass.simpleName)
         } finally {
-            connection?.let { if (whole && idle.size < keep) idle.addFirst(it) else it.socket.close() }
+            connection?.let { if (whole && idle.size < keep) idle.addFirst(it) else it.close() }
+        }
+    }
+
+    /** One that the other side has closed meanwhile would lose the request. */
+    private fun keptConnection(): TcpConnection? {
+        while (true) {
+            val connection = idle.removeFirstOrNull() ?: return null
+            if (connection.isReusable) return connection
+            connection.close()
         }
     }
 
-    private suspend fun send(output: ByteWriteChannel, method: String, target: String, body: ByteArray?) {
+    private suspend fun send(connection: TcpConnection, method: String, target: String, body: ByteArray?) {
         val head = StringBuilder(128)
         head.append(method).append(' ').append(target).append(" HTTP/1.1\r\nHost: ")
         head.append(address.host).append(':').append(address.port)
@@ -64,22 +52,18 @@
         }
         head.append("\r\n\r\n")
         val bytes = head.toString().encodeToByteArray()
-        output.writeFully(if (body == null) bytes else bytes + body)
-        output.flush()
+        connection.send(if (body == null) bytes else bytes + body)
     }
 
-    private suspend fun receive(input: ByteReadChannel): Pair<Reply, Boolean> {
-        val response = parseResponse(input) ?: return Reply.None("connection closed") to false
-        try {
-            val length = response.headers["Content-Length"]?.toString()?.trim()?.toIntOrNull()
-            val keepOpen = !response.headers["Connection"]?.toString().equals("close", ignoreCase = true)
-            if (length == null || length > MAX_ANSWER) return Reply.None("answer without a usable length") to false
-            val body = ByteArray(length)
-            input.readFully(body)
-            return Reply.Answer(response.status, body) to keepOpen
-        } finally {
-            response.release()
-        }
+    private suspend fun receive(connection: TcpConnection): Pair<Reply, Boolean> {
+        val closed = Reply.None("connection closed") to false
+        val head = HttpHead.receive(connection) ?: return closed
+        val status = head.startLine.getOrNull(1)?.toIntOrNull()
+        val length = head["Content-Length"]?.toIntOrNull()
+        if (status == null) return Reply.None("not HTTP") to false
+        if (length == null || length > MAX_ANSWER) return Reply.None("answer without a usable length") to false
+        if (!connection.receive(length.toLong())) return closed
+        return Reply.Answer(status, connection.input.readByteArray(length.toLong())) to !head.asksClose
     }
 
     private companion object {
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/http/HttpHead.kt
@@ -0,0 +1,84 @@
+package io.otterknot.http
+
+import io.otterknot.net.TcpConnection
+import okio.Buffer
+
+/** A message that is not HTTP; the text is told to its sender. */
+internal class MalformedHttp(message: String) : Exception(message, null, false, false)
+
+/**
+ * The head of an HTTP message: its first line, cut at spaces, and its header fields.
+ *
+ * It is read by this class and not by Ktor's parser, since the JVM's client compiler gives up on that ("block join
+ * failed" on `parseRequest` and `parseHeaders`): it would be interpreted for ever, at a fifth of a controller's
+ * processor time in the first seconds after a start.
+ */
+internal class HttpHead private constructor(val startLine: List<String>, private val fields: List<Field>) {
+    private class Field(val name: String, val value: String)
+
+    operator fun get(name: String): String? = fields.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
+
+    val asksClose: Boolean get() = this["Connection"].equals("close", ignoreCase = true)
+
+    val isChunked: Boolean get() = this["Transfer-Encoding"].equals("chunked", ignoreCase = true)
+
+    companion object {
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
+        private const val MOST_BYTES = 16_384L
+
+        /** The most bytes of a head's end that may have come without its last one. */
+        private const val PART_OF_AN_END = 2
+        private const val START_LINE_PARTS = 3
+
+        /** The next head on [connection]; null: the other side sends no more. */
+        suspend fun receive(connection: TcpConnection): HttpHead? {
+            val input = connection.input
+            var searchedTo = 0L
+            while (true) {
+                if (searchedTo == 0L) skipEmptyLines(input)
+                val end = end(input, searchedTo)
+                if (end >= 0) return parse(input.readString(end, Charsets.ISO_8859_1))
+                if (input.size > MOST_BYTES) throw MalformedHttp("the head has more than $MOST_BYTES bytes")
+                searchedTo = maxOf(0L, input.size - PART_OF_AN_END)
+                if (!connection.receive()) return null
+            }
+        }
+
+        /** Some clients send a line end too many after a body. */
+        private fun skipEmptyLines(input: Buffer) {
+            while (!input.exhausted() && (input[0] == CARRIAGE_RETURN || input[0] == LINE_FEED)) input.skip(1)
+        }
+
+        /** Where the body begins: after a line feed that only a line end follows; -1: that has not come yet. */
+        private fun end(input: Buffer, from: Long): Long {
+            var lineEnd = input.indexOf(LINE_FEED, from)
+            while (lineEnd >= 0) {
+                var next = lineEnd + 1
+                if (next < input.size && input[next] == CARRIAGE_RETURN) next++
+                if (next < input.size && input[next] == LINE_FEED) return next + 1
+                lineEnd = input.indexOf(LINE_FEED, lineEnd + 1)
+            }
+            return -1
+        }
+
+        private fun parse(text: String): HttpHead {
+            val startEnd = text.indexOf('\n')
+            val startLine = text.substring(0, startEnd).trimEnd().split(' ', limit = START_LINE_PARTS)
+            val fields = ArrayList<Field>()
+            var from = startEnd + 1
+            while (true) {
+                val lineEnd = text.indexOf('\n', from)
+                if (lineEnd - from <= 1) return HttpHead(startLine, fields)
+                fields.add(field(text, from, lineEnd))
+                from = lineEnd + 1
+            }
+        }
+
+        private fun field(text: String, from: Int, until: Int): Field {
+            val colon = text.indexOf(':', from)
+            if (colon <= from || colon >= until) throw MalformedHttp("a header line without a name")
+            return Field(text.substring(from, colon), text.substring(colon + 1, until).trim())
+        }
+    }
+}
--- a/src/main/kotlin/io/otterknot/http/HttpServer.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpServer.kt
@@ -1,153 +1,154 @@
 package io.otterknot.http
 
+import io.ktor.http.HttpProtocolVersion
 import io.ktor.http.cio.parseHttpBody
-import io.ktor.http.cio.parseRequest
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteChannel
-import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.readFully
 import io.ktor.utils.io.writeFully
+import io.otterknot.config.HostPort
+import io.otterknot.net.EventLoop
+import io.otterknot.net.TcpConnection
+import io.otterknot.net.TcpListener
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /**
- * HTTP/1.1 on Ktor's sockets with the parser of Ktor's CIO engine. The engine's routing pipeline is left out: on a
- * tenth of a core its start-up alone takes seconds. One coroutine serves one connection, one request at a time.
+ * HTTP/1.1, one coroutine for a connection, one request at a time. Of Ktor's CIO engine it uses the decoder of chunked
+ * bodies; the rest of it is too dear for a twentieth of a core: its routing takes seconds to start.
  */
 class HttpServer(
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val maxConnections: Int,
     private val maxBody: Int,
     private val handler: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
-    private var open = 0
+    private val open = HashSet<Exchange>()
 
-    suspend fun bind(host: String, port: Int): ServerSocket = aSocket(selector).tcp().bind(host, port) {
-        backlogSize = 256
-        reuseAddress = true
-    }
+    /** How many connections have been accepted since the start. */
+    var accepted = 0
+        private set
+
+    fun bind(address: HostPort): TcpListener = TcpListener.bind(loop, address)
 
     /** Accepts connections for as long as [scope] lives. */
-    suspend fun serve(scope: CoroutineScope, server: ServerSocket) {
+    suspend fun serve(scope: CoroutineScope, listener: TcpListener) {
+        scope.launch { closeIdle() }
         while (true) {
-            val socket = try {
-                server.accept()
+            val connection = try {
+                listener.accept()
             } catch (e: java.io.IOException) {
                 // Out of sockets: the ones in use will come free; a loop without a pause would eat the processor.
                 log.warn("cannot accept a connection: {}", e.message)
                 delay(ACCEPT_PAUSE_MS)
                 continue
             }
-            if (open >= maxConnections) {
-                socket.close()
+            if (open.size >= maxConnections) {
+                connection.close()
                 continue
             }
-            open++
-            scope.launch {
-                try {
-                    converse(socket)
-                } catch (e: CancellationException) {
-                    throw e
-                } catch (e: Exception) {
-                    log.debug("connection ended: {}", e.toString())
-                } finally {
-                    open--
-                    socket.close()
-                }
-            }
+            accepted++
+            val exchange = Exchange(connection)
+            open.add(exchange)
+            scope.launch { converse(exchange) }
         }
     }
 
-    private suspend fun converse(socket: Socket) {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel(autoFlush = false)
+    /** A connection, and since when it waits for what its client sends. */
+    private class Exchange(val connection: TcpConnection) {
+        private var waitingSinceNs = System.nanoTime()
+        private var waits = true
+
+        fun waits() {
+            waitingSinceNs = System.nanoTime()
+            waits = true
+        }
+
+        fun works() {
+            waits = false
+        }
+
+        /** A request that has begun to come has to be whole soon. */
+        fun isIdle(now: Long): Boolean {
+            val limitMs = if (connection.input.exhausted()) IDLE_MS else REQUEST_MS
+            return waits && now - waitingSinceNs > limitMs * NS_A_MS
+        }
+    }
+
+    /** One look at all connections now and then costs less than a timer for each request. */
+    private suspend fun closeIdle() {
         while (true) {
-            val request = try {
-                withTimeoutOrNull(IDLE_MS) { parseRequest(input) } ?: return
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: java.io.IOException) {
-                return
-            } catch (e: Exception) {
-                respond(output, HttpResponse.refusal(400, "not HTTP", close = true), close = true)
-                return
-            }
-            val response: HttpResponse
-            val close: Boolean
-            try {
-                val asksClose = request.headers["Connection"]?.toString().equals("close", ignoreCase = true)
-                val body =
-                    withTimeoutOrNull(BODY_MS) {
-                        readBody(request.headers["Content-Length"], request.headers["Transfer-Encoding"], input)
-                    }
-                response = when (body) {
-                    null -> HttpResponse.refusal(400, "the body did not come", close = true)
-
-                    is Body.TooLarge -> HttpResponse.refusal(
-                        413,
-                        "a body may have at most $maxBody bytes",
-                        close = true,
-                    )
-
-                    is Body.Bad -> HttpResponse.refusal(400, "bad Content-Length", close = true)
-
-                    is Body.Whole ->
-                        handle(
-                            HttpRequest(request.method.value, request.uri.toString().substringBefore('?'), body.bytes),
-                        )
-                }
-                close = asksClose || response.close
-            } finally {
-                request.release()
-            }
-            respond(output, response, close)
-            if (close) return
+            delay(IDLE_CHECK_MS)
+            val now = System.nanoTime()
+            open.filter { it.isIdle(now) }.forEach { it.connection.close() }
         }
     }
 
-    private suspend fun handle(request: HttpRequest): HttpResponse = try {
-        handler(request)
-    } catch (e: CancellationException) {
-        throw e
-    } catch (e: Exception) {
-        log.error("{} {} failed", request.method, request.path, e)
-        HttpResponse.refusal(500, "internal error")
+    private suspend fun converse(exchange: Exchange) {
+        try {
+            while (true) {
+                exchange.waits()
+                val request = receive(exchange.connection) ?: return
+                exchange.works()
+                val response = answer(request)
+                send(exchange.connection, response, close = response.close || request.asksClose)
+                if (response.close || request.asksClose) return
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.debug("connection ended: {}", e.toString())
+        } finally {
+            open.remove(exchange)
+            exchange.connection.close()
+        }
     }
 
-    private sealed interface Body {
-        class Whole(val bytes: ByteArray) : Body
-        data object TooLarge : Body
-        data object Bad : Body
+    private sealed interface Received {
+        val asksClose: Boolean
+
+        class Whole(val request: HttpRequest, override val asksClose: Boolean) : Received
+
+        class Bad(val refusal: HttpResponse) : Received {
+            override val asksClose = true
+        }
     }
 
-    private suspend fun readBody(length: CharSequence?, encoding: CharSequence?, input: ByteReadChannel): Body {
-        if (encoding != null && encoding.toString().equals("chunked", ignoreCase = true)) return readChunked(input)
-        if (length == null) return Body.Whole(EMPTY)
-        val size = length.toString().trim().toLongOrNull() ?: return Body.Bad
-        if (size < 0) return Body.Bad
-        if (size > maxBody) return Body.TooLarge
-        val bytes = ByteArray(size.toInt())
-        input.readFully(bytes)
-        return Body.Whole(bytes)
+    private fun bad(status: Int, why: String) = Received.Bad(HttpResponse.refusal(status, why, close = true))
+
+    /** The next request; null: the client has closed the connection. */
+    private suspend fun receive(connection: TcpConnection): Received? {
+        val head = try {
+            HttpHead.receive(connection) ?: return null
+        } catch (e: MalformedHttp) {
+            return bad(400, e.message.orEmpty())
+        }
+        if (head.startLine.size < 3 || !head.startLine.last().startsWith("HTTP/1.")) return bad(400, "not HTTP")
+        if (head.isChunked) return receiveChunked(connection, head)
+        val length = head["Content-Length"] ?: return whole(head, EMPTY)
+        val size = length.toLongOrNull() ?: return bad(400, BAD_LENGTH)
+        if (size < 0) return bad(400, BAD_LENGTH)
+        if (size > maxBody) return bad(413, tooLarge())
+        if (!connection.receive(size)) return null
+        return whole(head, connection.input.readByteArray(size))
     }
 
-    private suspend fun readChunked(input: ByteReadChannel): Body = kotlinx.coroutines.coroutineScope {
+    /** What comes after the body is lost with the decoder, so the connection is closed after the answer. */
+    private suspend fun receiveChunked(connection: TcpConnection, head: HttpHead): Received = coroutineScope {
+        val encoded = ByteChannel(autoFlush = true)
         val decoded = ByteChannel()
         val decoder = launch {
-            parseHttpBody(io.ktor.http.HttpProtocolVersion.HTTP_1_1, -1L, "chunked", null, input, decoded)
+            parseHttpBody(HttpProtocolVersion.HTTP_1_1, -1L, "chunked", null, encoded, decoded)
             decoded.flushAndClose()
         }
+        val pump = launch {
+            do encoded.writeFully(connection.input.readByteArray()) while (connection.receive())
+            encoded.flushAndClose()
+        }
         val buffer = ByteArray(maxBody + 1)
         var size = 0
         while (size <= maxBody) {
@@ -155,11 +156,33 @@
             if (got < 0) break
             size += got
         }
+        pump.cancel()
         decoder.cancel()
-        if (size > maxBody) Body.TooLarge else Body.Whole(buffer.copyOf(size))
+        if (size > maxBody) bad(413, tooLarge()) else whole(head, buffer.copyOf(size), asksClose = true)
+    }
+
+    private fun whole(head: HttpHead, body: ByteArray, asksClose: Boolean = head.asksClose): Received {
+        val (method, target) = head.startLine
+        val path = target.substringBefore('?')
+        return Received.Whole(HttpRequest(method, path, body, target.substring(path.length)), asksClose)
+    }
+
+    private fun tooLarge() = "a body may have at most $maxBody bytes"
+
+    private suspend fun answer(received: Received): HttpResponse = when (received) {
+        is Received.Bad -> received.refusal
+
+        is Received.Whole -> try {
+            handler(received.request)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.error("{} {} failed", received.request.method, received.request.path, e)
+            HttpResponse.refusal(500, "internal error")
+        }
     }
 
-    private suspend fun respond(output: io.ktor.utils.io.ByteWriteChannel, response: HttpResponse, close: Boolean) {
+    private suspend fun send(connection: TcpConnection, response: HttpResponse, close: Boolean) {
         val head = StringBuilder(160)
         head.append("HTTP/1.1 ").append(response.status).append(' ').append(reasons[response.status] ?: "Status")
         head.append("\r\nContent-Type: application/json\r\nContent-Length: ").append(response.body.size)
@@ -168,15 +191,16 @@
         if (close) head.append("\r\nConnection: close")
         head.append("\r\n\r\n")
         // One write, so that head and body leave in one packet.
-        output.writeFully(head.toString().encodeToByteArray() + response.body)
-        output.flush()
-        if (close) output.flushAndClose()
+        connection.send(head.toString().encodeToByteArray() + response.body)
     }
 
     private companion object {
         const val IDLE_MS = 180_000L
-        const val BODY_MS = 10_000L
+        const val REQUEST_MS = 10_000L
+        const val IDLE_CHECK_MS = 5_000L
         const val ACCEPT_PAUSE_MS = 100L
+        const val NS_A_MS = 1_000_000L
+        const val BAD_LENGTH = "bad Content-Length"
         val EMPTY = ByteArray(0)
     }
 }
--- a/src/main/kotlin/io/otterknot/http/Messages.kt
+++ b/src/main/kotlin/io/otterknot/http/Messages.kt
@@ -4,7 +4,8 @@
 import io.otterknot.wire.WireJson
 import kotlinx.serialization.KSerializer
 
-class HttpRequest(val method: String, val path: String, val body: ByteArray)
+/** [query] is what follows the path, with its question mark. */
+class HttpRequest(val method: String, val path: String, val body: ByteArray, val query: String = "")
 
 class HttpResponse(
     val status: Int,
--- a/src/main/kotlin/io/otterknot/peer/PeerLink.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerLink.kt
@@ -1,17 +1,10 @@
 package io.otterknot.peer
 
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readFully
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeFully
 import io.otterknot.config.HostPort
 import io.otterknot.http.Reply
+import io.otterknot.net.EventLoop
+import io.otterknot.net.TcpConnection
+import io.otterknot.net.TcpListener
 import io.otterknot.state.Relay
 import io.otterknot.wire.Malformed
 import kotlinx.coroutines.CancellationException
@@ -21,57 +14,51 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
+import java.io.EOFException
 
-private suspend fun readMessage(input: ByteReadChannel): PeerMessage {
-    val size = input.readInt()
+private suspend fun readMessage(connection: TcpConnection): PeerMessage {
+    if (!connection.receive(Int.SIZE_BYTES.toLong())) throw EOFException()
+    val size = connection.input.readInt()
     if (size !in 1..PeerCodec.MAX_FRAME) throw Malformed("frame of $size bytes")
-    val body = ByteArray(size)
-    input.readFully(body)
-    return PeerCodec.decode(body)
-}
-
-private suspend fun writeMessage(output: ByteWriteChannel, message: PeerMessage) {
-    output.writeFully(PeerCodec.encode(message))
-    output.flush()
+    if (!connection.receive(size.toLong())) throw EOFException()
+    return PeerCodec.decode(connection.input.readByteArray(size.toLong()))
 }
 
 /** Answers other controllers. */
-class PeerServer(private val selector: SelectorManager, private val handler: suspend (PeerMessage) -> PeerMessage) {
+class PeerServer(private val loop: EventLoop, private val handler: suspend (PeerMessage) -> PeerMessage) {
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
     private var open = 0
 
     suspend fun serve(scope: CoroutineScope, address: HostPort) {
-        aSocket(selector).tcp().bind(address.host, address.port) { reuseAddress = true }.use { server ->
+        TcpListener.bind(loop, address).use { listener ->
             while (true) {
-                val socket = try {
-                    server.accept()
+                val connection = try {
+                    listener.accept()
                 } catch (e: java.io.IOException) {
                     log.warn("cannot accept a controller's connection: {}", e.message)
                     delay(PAUSE_MS)
                     continue
                 }
                 if (open >= MAX_OPEN) {
-                    socket.close()
+                    connection.close()
                     continue
                 }
                 open++
-                scope.launch { converse(socket) }
+                scope.launch { converse(connection) }
             }
         }
     }
 
-    private suspend fun converse(socket: Socket) {
+    private suspend fun converse(connection: TcpConnection) {
         try {
-            val input = socket.openReadChannel()
-            val output = socket.openWriteChannel(autoFlush = false)
-            while (true) writeMessage(output, handler(readMessage(input)))
+            while (true) connection.send(PeerCodec.encode(handler(readMessage(connection))))
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
             log.debug("a controller's connection ended: {}", e.toString())
         } finally {
             open--
-            socket.close()
+            connection.close()
         }
     }
 
@@ -108,27 +95,21 @@
 }
 
 /** A kept connection to one other controller; a message that gets no answer in time is given up. */
-class PeerClient(private val selector: SelectorManager, private val address: HostPort) : PeerTransport {
-    private class Connection(val socket: Socket) {
-        val input = socket.openReadChannel()
-        val output = socket.openWriteChannel(autoFlush = false)
-    }
-
-    private var kept: Connection? = null
+class PeerClient(private val loop: EventLoop, private val address: HostPort) : PeerTransport {
+    private var kept: TcpConnection? = null
 
     override suspend fun ask(message: PeerMessage, timeoutMs: Long): PeerMessage? {
         val used = kept
         kept = null
-        var connection: Connection? = used
+        var connection: TcpConnection? = used
         var answered = false
         try {
             return withTimeout(timeoutMs) {
-                val open = used?.takeUnless { it.input.isClosedForRead }
-                    ?: Connection(aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true })
-                if (open !== used) used?.socket?.close()
+                val open = used?.takeIf { it.isReusable } ?: TcpConnection.open(loop, address)
+                if (open !== used) used?.close()
                 connection = open
-                writeMessage(open.output, message)
-                readMessage(open.input).also { answered = true }
+                open.send(PeerCodec.encode(message))
+                readMessage(open).also { answered = true }
             }
         } catch (e: TimeoutCancellationException) {
             return null
@@ -137,7 +118,7 @@
         } catch (e: Exception) {
             return null
         } finally {
-            if (answered) kept = connection else connection?.socket?.close()
+            if (answered) kept = connection else connection?.close()
         }
     }
 }
