--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -55,6 +55,7 @@
     }
 
     private val controllers = HashMap<String, Controller>()
+    private val dispatchers = nodes.associateWith { NodeDispatcher.of(scope) }
 
     // ---- faults and other circumstances
 
@@ -109,7 +110,7 @@
         val link = if (label in old) ProductionCodec(state.link(label)) else state.link(label)
         val peers = settings.members.associate { it.label to peer(label, it.label) }
         val controller = Controller(settings, Links(link, link, cloud, peers), Random(random.nextLong()), nowMs, nowMs)
-        running[label] = scope.launch {
+        running[label] = scope.launch(dispatchers.getValue(label)) {
             controllers[label] = controller
             controller.run()
         }
@@ -148,12 +149,15 @@
     private suspend fun <T : Any> serve(node: String, limitMs: Long, handle: suspend (Controller) -> T): T? {
         val controller = controllers[node] ?: return null
         val answer = CompletableDeferred<T?>()
-        CoroutineScope(scope.coroutineContext + running.getValue(node))
+        CoroutineScope(scope.coroutineContext + dispatchers.getValue(node) + running.getValue(node))
             .launch { answer.complete(handle(controller)) }
             .invokeOnCompletion { answer.complete(null) }
         return withTimeoutOrNull(limitMs) { answer.await() }
     }
 
+    /** The node gets no turn for so long, while its clocks run on. */
+    fun pause(label: String, ms: Long) = dispatchers.getValue(label).pause(ms)
+
     fun controller(label: String): Controller = controllers.getValue(label)
 
     fun crash(label: String) {
--- a/src/test/kotlin/io/otterknot/MeetingTest.kt
+++ b/src/test/kotlin/io/otterknot/MeetingTest.kt
@@ -140,6 +140,33 @@
                 delay(10_000)
                 answerMs = 0
             },
+            Case(
+                "controllers get no turn for up to twice a lease, timers and renewals come late, jobs are called off",
+            ) {
+                longWork()
+                repeat(10) {
+                    pause(nodes.random(random), 500 + random.nextLong(20_000))
+                    delay(random.nextLong(3_000))
+                    cancelNow(2)
+                    delay(2_000 + random.nextLong(6_000))
+                }
+                nodes.forEach { pause(it, 12_000) }
+                delay(25_000)
+            },
+            Case("a controller gets no turn in the middle of a take-over, with a burst of work") {
+                for (id in 201..216) user(spec(id, 1 + id % 8, 3.0))
+                crash("holt-a")
+                delay(3_000)
+                pause("holt-b", 6_000)
+                startNode("holt-a")
+                delay(4_000)
+                pause("holt-a", 8_000)
+                cancelNow(3)
+                crash("holt-c")
+                delay(12_000)
+                startNode("holt-c")
+                delay(10_000)
+            },
             Case("transactions are carried out 2 to 12 s late, after newer ones of the same controller") {
                 state.lateWrites = 0.3
                 for (id in 201..216) {
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/NodeDispatcher.kt
@@ -0,0 +1,48 @@
+package io.otterknot
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Delay
+import kotlinx.coroutines.InternalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlin.coroutines.ContinuationInterceptor
+import kotlin.coroutines.CoroutineContext
+
+/**
+ * Runs the coroutines of one node on the virtual time of [scope]. While the node is paused none of them gets a turn, as
+ * in a process that has used up its share of the processor: its clocks and everything around it go on.
+ */
+@OptIn(InternalCoroutinesApi::class)
+class NodeDispatcher private constructor(
+    private val scope: CoroutineScope,
+    private val dispatcher: CoroutineDispatcher,
+    timers: Delay,
+) : CoroutineDispatcher(),
+    Delay by timers {
+    private class Held(val context: CoroutineContext, val block: Runnable)
+
+    private val held = ArrayList<Held>()
+    private var pauses = 0
+
+    override fun dispatch(context: CoroutineContext, block: Runnable) {
+        if (pauses > 0) held.add(Held(context, block)) else dispatcher.dispatch(context, block)
+    }
+
+    fun pause(ms: Long) {
+        pauses++
+        scope.launch {
+            kotlinx.coroutines.delay(ms)
+            if (--pauses > 0) return@launch
+            val due = held.toList()
+            held.clear()
+            due.forEach { dispatcher.dispatch(it.context, it.block) }
+        }
+    }
+
+    companion object {
+        fun of(scope: CoroutineScope): NodeDispatcher {
+            val dispatcher = scope.coroutineContext[ContinuationInterceptor] as CoroutineDispatcher
+            return NodeDispatcher(scope, dispatcher, dispatcher as Delay)
+        }
+    }
+}
