No fixed number of machines: what was sent on is dropped by time, names let go by size

MisdirectedWorkers looked at all machines of a zone at every report once there were 2,000 (and kept few for ever); LastSeen kept 4,096 names whatever the partition's size.

--- a/src/main/kotlin/io/otterknot/ownership/MisdirectedWorkers.kt
+++ b/src/main/kotlin/io/otterknot/ownership/MisdirectedWorkers.kt
@@ -10,16 +10,27 @@
     private class Seen(val sentMs: Long, val backMs: Long, val left: Boolean)
 
     private val byZone = HashMap<String, HashMap<String, Seen>>()
+    private var trimmedMs = Long.MIN_VALUE / 2
+
+    /** How many machines are remembered. */
+    val size: Int get() = byZone.values.sumOf { it.size }
 
     /** A machine of [zone] reports here and is sent to the owner; [registered]: it had been with an owner before. */
     fun sent(zone: String, machine: String, now: Long, registered: Boolean) {
+        trim(now)
         val seen = byZone.getOrPut(zone) { HashMap() }
         val before = seen[machine]
         when {
             before == null || now - before.sentMs > SPAN_MS -> seen[machine] = Seen(now, Long.MIN_VALUE / 2, registered)
             now - before.sentMs >= BACK_MS -> seen[machine] = Seen(before.sentMs, now, before.left)
         }
-        if (seen.size > MOST) seen.values.removeIf { now - it.sentMs > SPAN_MS }
+    }
+
+    /** By time and not by number: from some number on, each report would look at all machines. */
+    private fun trim(now: Long) {
+        if (now - trimmedMs < SPAN_MS) return
+        trimmedMs = now
+        byZone.values.forEach { seen -> seen.values.removeIf { now - it.sentMs > SPAN_MS } }
     }
 
     /** How many have left the owner by themselves within the last seconds. */
@@ -38,6 +49,5 @@
         const val BACK_MS = 700L
         const val SPAN_MS = 9_000L
         const val FRESH_MS = 4_000L
-        const val MOST = 2_000
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/LastSeen.kt
+++ b/src/main/kotlin/io/otterknot/placement/LastSeen.kt
@@ -2,14 +2,21 @@
 
 import io.otterknot.wire.Report
 
-/** How far machines that were let go had reported, the latest of them; late copies of reports show less. */
-class LastSeen(private val most: Int = 4_096) {
+/**
+ * How far machines that were let go had reported, the latest of them; late copies of reports show less. How many are
+ * kept grows with the partition, now of [machineCount] machines: the more it has, the more come and go in the time
+ * that a copy may be late.
+ */
+class LastSeen(private val machineCount: () -> Int) {
     private class Seen(val session: Long, val seq: Long)
 
     private val machines = object : LinkedHashMap<String, Seen>() {
-        override fun removeEldestEntry(eldest: Map.Entry<String, Seen>) = size > most
+        override fun removeEldestEntry(eldest: Map.Entry<String, Seen>) =
+            size > maxOf(LEAST_KEPT, machineCount() * KEPT_FOR_EACH_MACHINE)
     }
 
+    val size: Int get() = machines.size
+
     fun note(id: String, session: Long, seq: Long) {
         machines[id] = Seen(session, seq)
     }
@@ -19,4 +26,9 @@
 
     /** Whether [report] is newer than all that is known of its machine. */
     fun isNews(report: Report): Boolean = machines[report.machine]?.let { report.newerThan(it.session, it.seq) } ?: true
+
+    private companion object {
+        const val LEAST_KEPT = 4_096
+        const val KEPT_FOR_EACH_MACHINE = 8
+    }
 }
--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -82,7 +82,7 @@
     val load = PartitionLoad({ machineList }, { jobList }, teams)
 
     /** How far machines that were let go had reported: a copy of an older report must not bring one back. */
-    private val lastSeen = LastSeen()
+    private val lastSeen = LastSeen { machineList.size }
     var settled = false
         private set
 
--- a/src/test/kotlin/io/otterknot/OwnershipTest.kt
+++ b/src/test/kotlin/io/otterknot/OwnershipTest.kt
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
 import java.util.BitSet
 
 class OwnershipTest {
@@ -158,6 +159,17 @@
         assertEquals(0, misdirected.left("a", 35_000))
     }
 
+    /** Dropped by time, whatever their number: by number alone, few would stay for ever and many be looked at each time. */
+    @ParameterizedTest
+    @ValueSource(ints = [100, 6_000])
+    fun `machines that were sent to their owner are remembered for some seconds`(machines: Int) {
+        val misdirected = MisdirectedWorkers()
+        repeat(machines) { misdirected.sent("a", "m$it", 1_000, true) }
+        assertEquals(machines, misdirected.left("a", 4_000))
+        misdirected.sent("a", "later", 20_000, true)
+        assertEquals(1, misdirected.size)
+    }
+
     /**
      * With a fixed number, machines that hang and go on together would have a large partition claimed from a sound
      * owner.
--- a/src/test/kotlin/io/otterknot/PlacementTest.kt
+++ b/src/test/kotlin/io/otterknot/PlacementTest.kt
@@ -6,6 +6,7 @@
 import io.otterknot.placement.Aim
 import io.otterknot.placement.Aims
 import io.otterknot.placement.Candidates
+import io.otterknot.placement.LastSeen
 import io.otterknot.placement.PartitionChooser
 import io.otterknot.placement.PartitionJob
 import io.otterknot.placement.PartitionView
@@ -65,6 +66,15 @@
         }
     }
 
+    /** With 6,000 machines more than 4,096 are let go within minutes; a copy of a report may be as late as that. */
+    @ParameterizedTest
+    @CsvSource("10,4096", "6000,48000")
+    fun `how many machines that were let go are remembered grows with the partition`(machines: Int, kept: Int) {
+        val lastSeen = LastSeen { machines }
+        repeat(50_000) { lastSeen.gone("m$it") }
+        assertEquals(kept, lastSeen.size)
+    }
+
     @Test
     fun `an idle place comes first, one fit is taken, none waits`() {
         val idle = place(0.0, 0.0, idle = true)
