HTTP server: a request has its time from its own first byte, and is refused if it stays unfinished

Change: the time counts from when the request is first seen to have begun, a head without its body included; what stays unfinished is answered with 400. Limits are a parameter, so tests need no 10 s.

--- a/src/main/kotlin/io/otterknot/cli/Main.kt
+++ b/src/main/kotlin/io/otterknot/cli/Main.kt
@@ -106,7 +106,7 @@
     )
     val controller = Controller(settings, links, random, { System.nanoTime() / 1_000_000 }, System::currentTimeMillis)
     val server =
-        HttpServer(loop, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, controller::route)
+        HttpServer(loop, maxOf(32, settings.facts.machineLimits.fdLimit * 4 / 5), MAX_BODY_BYTES, handler = controller::route)
     launch { controller.run() }
     launch { PeerServer(loop, controller::peer).serve(this, HostPort.parse("peer_listen", settings.peerListen)) }
     // Hundreds of workers look for an owner after a crash. Telling each that nothing is known yet would take the little
--- a/src/main/kotlin/io/otterknot/http/HttpHead.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpHead.kt
@@ -69,12 +69,15 @@
             var from = startEnd + 1
             while (true) {
                 val lineEnd = text.indexOf('\n', from)
-                if (lineEnd - from <= 1) return HttpHead(startLine, fields)
+                if (isBlank(text, from, lineEnd)) return HttpHead(startLine, fields)
                 fields.add(field(text, from, lineEnd))
                 from = lineEnd + 1
             }
         }
 
+        private fun isBlank(text: String, from: Int, lineEnd: Int): Boolean =
+            lineEnd == from || (lineEnd == from + 1 && text[from] == '\r')
+
         private fun field(text: String, from: Int, until: Int): Field {
             val colon = text.indexOf(':', from)
             if (colon <= from || colon >= until) throw MalformedHttp("a header line without a name")
--- a/src/main/kotlin/io/otterknot/http/HttpServer.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpServer.kt
@@ -15,6 +15,13 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import java.io.IOException
+
+/**
+ * How long a connection may be idle, and how long a request may take to come whole from when it is first seen to have
+ * begun; connections are looked at every [checkMs].
+ */
+class ConnectionLimits(val idleMs: Long = 180_000, val requestMs: Long = 10_000, val checkMs: Long = 5_000)
 
 /**
  * HTTP/1.1, one coroutine for a connection, one request at a time. Of Ktor's CIO engine it uses the decoder of chunked
@@ -24,6 +31,7 @@
     private val loop: EventLoop,
     private val maxConnections: Int,
     private val maxBody: Int,
+    private val limits: ConnectionLimits = ConnectionLimits(),
     private val handler: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
@@ -41,7 +49,7 @@
         while (true) {
             val connection = try {
                 listener.accept()
-            } catch (e: java.io.IOException) {
+            } catch (e: IOException) {
                 // Out of sockets: the ones in use will come free; a loop without a pause would eat the processor.
                 log.warn("cannot accept a connection: {}", e.message)
                 delay(ACCEPT_PAUSE_MS)
@@ -58,33 +66,55 @@
         }
     }
 
-    /** A connection, and since when it waits for what its client sends. */
+    /** A connection, and how long its client has let it wait. */
     private class Exchange(val connection: TcpConnection) {
-        private var waitingSinceNs = System.nanoTime()
         private var waits = true
+        private var hasHead = false
+        private var idleSinceNs = System.nanoTime()
 
+        /** When the request that is coming was first seen to have begun; null: nothing of it has come. */
+        private var begunNs: Long? = null
+
+        private val hasBegun: Boolean get() = hasHead || !connection.input.exhausted()
+
+        /** The connection waits for its next request. */
         fun waits() {
-            waitingSinceNs = System.nanoTime()
+            idleSinceNs = System.nanoTime()
+            begunNs = null
+            hasHead = false
             waits = true
         }
 
+        /** The head has come; a body may have to follow. */
+        fun hasHead() {
+            hasHead = true
+        }
+
         fun works() {
             waits = false
         }
 
-        /** A request that has begun to come has to be whole soon. */
-        fun isIdle(now: Long): Boolean {
-            val limitMs = if (connection.input.exhausted()) IDLE_MS else REQUEST_MS
-            return waits && now - waitingSinceNs > limitMs * NS_A_MS
+        /** Ends what has waited for too long; a request that has begun to come has to be whole soon. */
+        fun check(now: Long, limits: ConnectionLimits) {
+            if (!waits) return
+            if (!hasBegun) {
+                if (now - idleSinceNs > limits.idleMs * NS_A_MS) connection.close()
+                return
+            }
+            val begun = begunNs ?: now.also { begunNs = it }
+            if (now - begun > limits.requestMs * NS_A_MS) connection.interrupt(LateRequest())
         }
     }
 
+    /** A request did not come whole in time. */
+    private class LateRequest : IOException("the request did not come whole in time")
+
     /** One look at all connections now and then costs less than a timer for each request. */
     private suspend fun closeIdle() {
         while (true) {
-            delay(IDLE_CHECK_MS)
+            delay(limits.checkMs)
             val now = System.nanoTime()
-            open.filter { it.isIdle(now) }.forEach { it.connection.close() }
+            open.toList().forEach { it.check(now, limits) }
         }
     }
 
@@ -92,7 +122,7 @@
         try {
             while (true) {
                 exchange.waits()
-                val request = receive(exchange.connection) ?: return
+                val request = receive(exchange) ?: return
                 exchange.works()
                 val response = answer(request)
                 send(exchange.connection, response, close = response.close || request.asksClose)
@@ -121,12 +151,18 @@
     private fun bad(status: Int, why: String) = Received.Bad(HttpResponse.refusal(status, why, close = true))
 
     /** The next request; null: the client has closed the connection. */
-    private suspend fun receive(connection: TcpConnection): Received? {
-        val head = try {
-            HttpHead.receive(connection) ?: return null
-        } catch (e: MalformedHttp) {
-            return bad(400, e.message.orEmpty())
-        }
+    private suspend fun receive(exchange: Exchange): Received? = try {
+        receiveInTime(exchange)
+    } catch (e: MalformedHttp) {
+        bad(400, e.message.orEmpty())
+    } catch (e: LateRequest) {
+        bad(400, e.message.orEmpty())
+    }
+
+    private suspend fun receiveInTime(exchange: Exchange): Received? {
+        val connection = exchange.connection
+        val head = HttpHead.receive(connection) ?: return null
+        exchange.hasHead()
         if (head.startLine.size < 3 || !head.startLine.last().startsWith("HTTP/1.")) return bad(400, "not HTTP")
         if (head.isChunked) return receiveChunked(connection, head)
         val length = head["Content-Length"] ?: return whole(head, EMPTY)
@@ -195,9 +231,6 @@
     }
 
     private companion object {
-        const val IDLE_MS = 180_000L
-        const val REQUEST_MS = 10_000L
-        const val IDLE_CHECK_MS = 5_000L
         const val ACCEPT_PAUSE_MS = 100L
         const val NS_A_MS = 1_000_000L
         const val BAD_LENGTH = "bad Content-Length"
--- a/src/main/kotlin/io/otterknot/net/Sockets.kt
+++ b/src/main/kotlin/io/otterknot/net/Sockets.kt
@@ -55,6 +55,13 @@
         }
     }
 
+    /** Whoever waits gets [cause]; the socket stays open. */
+    internal fun interrupt(cause: IOException) {
+        val continuation = waiting
+        waiting = null
+        continuation?.resumeWithException(cause)
+    }
+
     /** Whoever waits gets a [ClosedChannelException]. */
     override fun close() {
         selectable.close()
--- a/src/test/kotlin/io/otterknot/HttpLoopTest.kt
+++ b/src/test/kotlin/io/otterknot/HttpLoopTest.kt
@@ -1,6 +1,7 @@
 package io.otterknot
 
 import io.otterknot.config.HostPort
+import io.otterknot.http.ConnectionLimits
 import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
@@ -48,6 +49,25 @@
         connection.close()
     }
 
+    /** A request that comes late on a kept connection, and requests of which the rest never comes. */
+    @ParameterizedTest
+    @MethodSource("slowClients")
+    fun `a request has its time from its own first byte, and one that stays unfinished is refused`(
+        client: Conversation,
+    ) = onServer(limits = ConnectionLimits(idleMs = 100_000, requestMs = 300, checkMs = 25)) { _, address, _ ->
+        val connection = TcpConnection.open(loop, address)
+        connection.send(GET.encodeToByteArray())
+        assertEquals(200, readAnswer(connection))
+        delay(500)
+        for (piece in client.pieces) {
+            connection.send(piece.encodeToByteArray())
+            delay(60)
+        }
+        assertEquals(client.statuses, List(client.statuses.size) { readAnswer(connection) })
+        if (client.closes) assertFalse(connection.receive(), "the connection is closed after the answer")
+        connection.close()
+    }
+
     @Test
     fun `what was sent is what the handler gets`() = onServer { _, address, requests ->
         val client = HttpClient(loop, address)
@@ -196,6 +216,7 @@
 
     private fun onServer(
         maxConnections: Int = 16,
+        limits: ConnectionLimits = ConnectionLimits(),
         play: suspend CoroutineScope.(TestServer, HostPort, List<String>) -> Unit,
     ) = EventLoop().use { newLoop ->
         loop = newLoop
@@ -203,7 +224,7 @@
             val requests = ArrayList<String>()
             lateinit var server: HttpServer
             val seen = TestServer { server }
-            server = HttpServer(newLoop, maxConnections, MAX_BODY) { request ->
+            server = HttpServer(newLoop, maxConnections, MAX_BODY, limits) { request ->
                 seen.threads.add(Thread.currentThread())
                 requests.add(described(request))
                 HttpResponse(200, request.body)
@@ -241,6 +262,15 @@
         private const val POST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
         private const val CHUNKED = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+        @JvmStatic
+        fun slowClients() = listOf(
+            Conversation("in pieces after a pause", listOf(POST.take(20), POST.drop(20)), listOf(200), false),
+            Conversation("half a head", listOf(GET.take(20)), listOf(400), true),
+            Conversation("a head without its body", listOf(POST.dropLast(2)), listOf(400), true),
+            Conversation("half a body", listOf(POST.dropLast(1)), listOf(400), true),
+            Conversation("chunks without an end", listOf(CHUNKED, "2\r\n{}\r\n"), listOf(400), true),
+        )
+
         @JvmStatic
         fun conversations() = listOf(
             Conversation("one", listOf(GET), listOf(200), false),
@@ -255,6 +285,7 @@
             Conversation("another protocol", listOf("GET / SIP/2.0\r\n\r\n"), listOf(400), true),
             Conversation("a nameless field", listOf(GET.replace("Host: a", ": a")), listOf(400), true),
             Conversation("a line without a colon", listOf(GET.replace("Host: a", "Host")), listOf(400), true),
+            Conversation("a line of one character", listOf(GET.replace("Host: a", "H\nHost: a")), listOf(400), true),
             Conversation("a bad length", listOf(GET.replace("Host: a", "Content-Length: x")), listOf(400), true),
             Conversation("below zero", listOf(GET.replace("Host: a", "Content-Length: -1")), listOf(400), true),
             Conversation("too large", listOf(GET.replace("Host: a", "Content-Length: 200001")), listOf(413), true),
