--- a/src/main/kotlin/io/otterknot/cli/ClassDataWarmup.kt
+++ b/src/main/kotlin/io/otterknot/cli/ClassDataWarmup.kt
@@ -1,6 +1,7 @@
 package io.otterknot.cli
 
 import io.otterknot.config.HostPort
+import io.otterknot.config.OperatorSettingsFile
 import io.otterknot.config.SettingsFile
 import io.otterknot.http.HttpClient
 import io.otterknot.http.HttpResponse
@@ -109,6 +110,7 @@
         val controller = launch {
             serveOn(loop, settings, Random(1))
         }
+        OperatorSettingsFile.parse("(load-spread :mode act :margin-s 3.0 :hand-overs true)")
         // Told for the first time a minute after a start, when nobody should wait for its classes.
         Figures { 0 }.apply {
             count("warm-up")
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/config/LoadSpreadSettings.kt
@@ -0,0 +1,93 @@
+package io.otterknot.config
+
+/** How far load spread goes. */
+enum class LoadSpreadMode {
+    /** Nothing of it runs. */
+    OFF,
+
+    /** It measures, plans and tells what it would do, and changes nothing. */
+    OBSERVE,
+
+    /** It carries its plans out. */
+    ACT,
+}
+
+/** The section `load-spread` of the operators' file. */
+data class LoadSpreadSettings(
+    val mode: LoadSpreadMode = LoadSpreadMode.OFF,
+    /** Whether waiting tasks are handed over by what they would gain, in place of the means alone. */
+    val handOvers: Boolean = true,
+    /** Whether work within a team's guarantee goes first, and other teams' work above theirs is stopped for it. */
+    val guarantees: Boolean = true,
+    /** Whether tasks on machines that are being emptied are stopped where they end sooner elsewhere. */
+    val drains: Boolean = true,
+    /** Whether work of a higher priority may be stopped so that a team gets its guarantee. */
+    val anyPriority: Boolean = true,
+    val planEveryS: Double = 1.0,
+    /** What a move has to gain at the least. */
+    val marginS: Double = 3.0,
+    /** How long a handover takes until the task may start. */
+    val handOverDelayS: Double = 2.0,
+    /** What a second of fetching counts, against one of waiting: it holds the task's cores. */
+    val fetchWeight: Double = 1.0,
+    /** What a second of lost work counts, against one of waiting. */
+    val lostWorkWeight: Double = 1.5,
+    /** How long a job's tasks stay where they were handed to. */
+    val returnAfterS: Double = 30.0,
+    /** How long a task that was stopped is not stopped again. */
+    val taskCooldownS: Double = 120.0,
+    /** How long work within a guarantee waits before other work is stopped for it. */
+    val patienceS: Double = 1.5,
+    /** A task that ends sooner than this is not stopped: its room comes by itself. */
+    val leastRemainingS: Double = 4.0,
+    val handOversPerPlan: Int = 3,
+    /** Of the tasks that run in a partition, how many may be being stopped at a time. */
+    val partitionStopShare: Double = 0.05,
+    /** The same of one team's tasks there. */
+    val teamStopShare: Double = 0.1,
+    /** The same of one job's tasks there. */
+    val jobStopShare: Double = 0.25,
+    /** Of a partition's core-seconds, how many may be thrown away by stops. */
+    val lostWorkShare: Double = 0.01,
+    /** How many waiting jobs a plan looks at. */
+    val examinedJobs: Int = 64,
+    /** How many machines a plan looks at for tasks to stop. */
+    val sampledMachines: Int = 128,
+) {
+    val isOn: Boolean get() = mode != LoadSpreadMode.OFF
+
+    internal companion object {
+        const val SECTION = "load-spread"
+        private val SECONDS = 0.0..3_600.0
+        private val WEIGHT = 0.0..100.0
+        private val SHARE = 0.0..1.0
+        private val COUNT = 1..100_000
+
+        fun read(section: SettingsSection): LoadSpreadSettings {
+            val default = LoadSpreadSettings()
+            return LoadSpreadSettings(
+                mode = section.choice("mode", default.mode, LoadSpreadMode.entries),
+                handOvers = section.flag("hand-overs", default.handOvers),
+                guarantees = section.flag("guarantees", default.guarantees),
+                drains = section.flag("drains", default.drains),
+                anyPriority = section.flag("any-priority", default.anyPriority),
+                planEveryS = section.number("plan-every-s", default.planEveryS, 0.2..60.0),
+                marginS = section.number("margin-s", default.marginS, SECONDS),
+                handOverDelayS = section.number("hand-over-delay-s", default.handOverDelayS, SECONDS),
+                fetchWeight = section.number("fetch-weight", default.fetchWeight, WEIGHT),
+                lostWorkWeight = section.number("lost-work-weight", default.lostWorkWeight, WEIGHT),
+                returnAfterS = section.number("return-after-s", default.returnAfterS, SECONDS),
+                taskCooldownS = section.number("task-cooldown-s", default.taskCooldownS, SECONDS),
+                patienceS = section.number("patience-s", default.patienceS, SECONDS),
+                leastRemainingS = section.number("least-remaining-s", default.leastRemainingS, SECONDS),
+                handOversPerPlan = section.count("hand-overs-per-plan", default.handOversPerPlan, COUNT),
+                partitionStopShare = section.number("partition-stop-share", default.partitionStopShare, SHARE),
+                teamStopShare = section.number("team-stop-share", default.teamStopShare, SHARE),
+                jobStopShare = section.number("job-stop-share", default.jobStopShare, SHARE),
+                lostWorkShare = section.number("lost-work-share", default.lostWorkShare, SHARE),
+                examinedJobs = section.count("examined-jobs", default.examinedJobs, COUNT),
+                sampledMachines = section.count("sampled-machines", default.sampledMachines, COUNT),
+            )
+        }
+    }
+}
--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -2,6 +2,7 @@
 
 import io.otterknot.api.UserApi
 import io.otterknot.cloud.CloudClient
+import io.otterknot.config.OperatorSettings
 import io.otterknot.config.Settings
 import io.otterknot.fleet.Fleet
 import io.otterknot.fleet.FleetPolicy
@@ -14,6 +15,7 @@
 import io.otterknot.ownership.Handover
 import io.otterknot.ownership.OwnerTxn
 import io.otterknot.ownership.Ownership
+import io.otterknot.ownership.TaskTransfer
 import io.otterknot.ownership.leaseTtlMs
 import io.otterknot.peer.Announcer
 import io.otterknot.peer.IdlePartitions
@@ -27,6 +29,10 @@
 import io.otterknot.placement.PartitionView
 import io.otterknot.placement.TeamShare
 import io.otterknot.placement.aimsByKind
+import io.otterknot.rebalance.LoadSpread
+import io.otterknot.rebalance.LoadSpreadHost
+import io.otterknot.rebalance.MoveKind
+import io.otterknot.rebalance.MoveState
 import io.otterknot.state.Amount
 import io.otterknot.state.Contact
 import io.otterknot.state.Figures
@@ -38,6 +44,7 @@
 import io.otterknot.state.StateLink
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
+import io.otterknot.wire.JobSpec
 import io.otterknot.workers.ReportEndpoint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -57,6 +64,8 @@
     private val random: Random,
     private val nowMs: () -> Long,
     private val wallMs: () -> Long,
+    /** The operators' own settings as they are now. */
+    private val operators: () -> OperatorSettings = { OperatorSettings() },
 ) {
     private val log = LoggerFactory.getLogger(Controller::class.java)
     private val facts = settings.facts
@@ -118,6 +127,7 @@
         limits,
         facts.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.map { it.name },
         nowMs,
+        pressureOf = { loadSpread.record(it) },
     )
     private val users = UserApi(
         state, replica, jobs, partitions, { views.values.toList() }, { catalog.types }, facts.teams,
@@ -126,8 +136,13 @@
     private val ownerTxn = OwnerTxn(state, replica, ownership, partitions, limits, random)
     private val allotments =
         Allotments(ownerTxn, replica, ownership, partitions, views, limits, facts.teams, zones, random)
-    private val handover =
-        Handover(ownerTxn, ownership, partitions, views, catalog::offers, limits, nowMs, wallMs, random)
+    private val transfer = TaskTransfer(ownerTxn, limits)
+    private val loadSpread: LoadSpread =
+        LoadSpread(LoadSpreadSurroundings(), transfer, { operators().loadSpread }, nowMs, wallMs, random)
+    private val handover = Handover(
+        transfer, ownership, partitions, views, catalog::offers, nowMs, wallMs, random,
+        isDecidedElsewhere = loadSpread::decidesHandOvers,
+    )
     private val reports = ReportEndpoint(settings.label, ownership, partitions, nowMs)
     private val router = RequestRouter(users, reports)
     private val dispatcher = ReplicaDispatcher(jobs, partitions, machines, ownership, catalog, allotments, views)
@@ -159,6 +174,7 @@
         backgroundTask("inspection") { fleet.inspect() }
         backgroundTask("records") { recorder.run() }
         backgroundTask("handover") { handover.balance() }
+        backgroundTask("load spread") { loadSpread.run() }
         backgroundTask("allotments") { allotments.share() }
         backgroundTask("announcements") { announcer.announce() }
         backgroundTask("work") { seekWork() }
@@ -223,6 +239,21 @@
      */
     private fun isolated(): Boolean = contact.lost.value && relays.alone && nowMs() - contact.goodMs > ISOLATED_MS
 
+    /** What load spread sees of this controller. */
+    private inner class LoadSpreadSurroundings : LoadSpreadHost {
+        override val partitions get() = this@Controller.partitions
+        override val views get() = this@Controller.views
+        override val teams get() = facts.teams
+        override val liveJobs get() = jobs.live.values
+        override val hasState get() = contact.sound
+        override fun mayActFor(partition: Partition) = ownership.token(partition.zone) == partition.token
+        override fun isTarget(zone: String, spec: JobSpec) =
+            ownership.ownerOf(zone) != null && catalog.offers(zone, spec)
+    }
+
+    /** How many moves of load spread have ended in each state, by kind, in the partitions owned now. */
+    fun moveEnds(): Map<Pair<MoveKind, MoveState>, Int> = loadSpread.ends()
+
     /** Waits until the state has been read. */
     suspend fun loaded() = replica.awaitLoaded()
 
--- a/src/main/kotlin/io/otterknot/controller/PartitionRecorder.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionRecorder.kt
@@ -6,8 +6,10 @@
 import io.otterknot.state.MachinesRecord
 import io.otterknot.state.MeanRecord
 import io.otterknot.state.PendingWrite
+import io.otterknot.state.PressureRecord
 import io.otterknot.state.Replica
 import io.otterknot.state.Segments
+import io.otterknot.state.TeamPressureRecord
 import io.otterknot.state.WriteLimits
 import io.otterknot.state.Writer
 import io.otterknot.state.decodeRecord
@@ -29,6 +31,8 @@
     private val limits: WriteLimits,
     private val limitedTeams: List<String>,
     private val nowMs: () -> Long,
+    /** What else is published with a partition's mean; null: nothing. */
+    private val pressureOf: (Partition) -> PressureRecord? = { null },
 ) {
     private val meanSentMs = HashMap<String, Long>()
 
@@ -86,6 +90,7 @@
             ordinaryMean = round(partition.load.ordinaryMean()),
             ordinaryCores = partition.load.ordinaryCores,
             needs = needs,
+            pressure = pressureOf(partition),
         )
         val published = replica[key]?.let { decodeRecord(MeanRecord.serializer(), it.value) }
         if (published != null && isClose(published, current)) return null
@@ -96,7 +101,19 @@
     private fun isClose(published: MeanRecord, current: MeanRecord): Boolean =
         abs(published.mean - current.mean) < MEAN_STEP &&
             abs(published.ordinaryMean - current.ordinaryMean) < MEAN_STEP &&
-            published.needs == current.needs
+            published.needs == current.needs &&
+            isPressureClose(published.pressure, current.pressure, current.cores)
+
+    /** What a team uses is published anew like the mean, once it has moved by a tenth of the partition. */
+    private fun isPressureClose(published: PressureRecord?, current: PressureRecord?, cores: Double): Boolean {
+        if (published == null || current == null) return published == current
+        val step = MEAN_STEP * maxOf(cores, 1.0)
+        return (published.teams.keys + current.teams.keys).all { team ->
+            val before = published.teams[team] ?: TeamPressureRecord()
+            val now = current.teams[team] ?: TeamPressureRecord()
+            abs(before.cores - now.cores) < step && abs(before.waitingCores - now.waitingCores) < step
+        }
+    }
 
     private fun round(value: Double) = Math.round(value * 1000) / 1000.0
 
--- a/src/main/kotlin/io/otterknot/controller/ReplicaDispatcher.kt
+++ b/src/main/kotlin/io/otterknot/controller/ReplicaDispatcher.kt
@@ -75,6 +75,7 @@
         view.mean = mean.mean
         view.cores = mean.cores
         view.needs = mean.needs
+        view.pressure = mean.pressure
         view.ordinaryMean = mean.ordinaryMean
         view.ordinaryCores = mean.ordinaryCores
     }
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/ownership/TaskTransfer.kt
@@ -0,0 +1,41 @@
+package io.otterknot.ownership
+
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionJob
+import io.otterknot.state.JobTransitions
+import io.otterknot.state.WriteLimits
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+
+/**
+ * Gives waiting tasks of a partition to another one, in a transaction on the job and the giving partition's key. Until
+ * the outcome is known the tasks belong to nobody's queue.
+ */
+class TaskTransfer(private val txn: OwnerTxn, private val limits: WriteLimits) {
+    private val log = LoggerFactory.getLogger(TaskTransfer::class.java)
+
+    enum class Outcome {
+        MOVED,
+
+        /** The tasks wait where they did. */
+        STAYED,
+
+        /** The partition has another owner by now, who will find the tasks in one place or the other. */
+        PARTITION_LOST,
+    }
+
+    /** Gives [tasks], which have been set aside, to the partition of [zone]. */
+    suspend fun transfer(partition: Partition, held: PartitionJob, tasks: BitSet, zone: String): Outcome {
+        val change = JobTransitions.handOver(held.job, tasks, zone)
+        // A value that is too large would be refused.
+        if (change == null || !limits.fits(change)) {
+            partition.settleHandover(held, tasks)
+            return Outcome.STAYED
+        }
+        val settled = txn.settle(partition, change)
+        if (settled == OwnerTxn.Settled.PART_LOST) return Outcome.PARTITION_LOST
+        log.debug("{}: {} tasks of {} to {}: {}", partition.zone, tasks.cardinality(), held.id, zone, settled)
+        partition.settleHandover(held, tasks)
+        return if (settled == OwnerTxn.Settled.APPLIED) Outcome.MOVED else Outcome.STAYED
+    }
+}
--- a/src/main/kotlin/io/otterknot/placement/AttemptLedger.kt
+++ b/src/main/kotlin/io/otterknot/placement/AttemptLedger.kt
@@ -3,7 +3,12 @@
 /**
  * Books attempts on machines, jobs and teams, and takes them off again. [onWaiting] is told when a task waits once more.
  */
-class AttemptLedger(private val token: Long, private val teams: TeamLedger, private val onWaiting: () -> Unit) {
+class AttemptLedger(
+    private val token: Long,
+    private val teams: TeamLedger,
+    private val waitingWork: WaitingWork,
+    private val onWaiting: () -> Unit,
+) {
     private var count = 0L
 
     /** Unlike any attempt of another owner or an earlier start: the token is in it. */
@@ -16,6 +21,7 @@
         machine.book(held.spec)
         held.active.put(task, attempt)
         teams.book(held.team, held.spec)
+        waitingWork.touch(held)
         return attempt
     }
 
@@ -36,9 +42,13 @@
     fun requeue(job: PartitionJob, task: Int) {
         if (job.over || !job.unheld(task)) return
         job.pending.set(task)
+        waitingWork.touch(job)
         onWaiting()
     }
 
+    /** Which tasks of [job] wait has changed without an attempt being booked or requeued. */
+    fun waitingChanged(job: PartitionJob) = waitingWork.touch(job)
+
     fun requeue(attempt: Attempt) = requeue(attempt.job, attempt.task)
 
     /** What was only booked has never been sent, so it is free at once; the rest is told to stop. */
--- a/src/main/kotlin/io/otterknot/placement/Machines.kt
+++ b/src/main/kotlin/io/otterknot/placement/Machines.kt
@@ -19,7 +19,9 @@
     /** Told to stop, or to be told with the next answer. */
     var halting = false
         private set
-    var haltSent = false
+
+    /** Since when it saves its progress; null: it was not seen to save. */
+    var savingSinceMs: Long? = null
 
     /** This owner sent its start. */
     var started = false
@@ -70,7 +72,12 @@
 }
 
 /** A machine in this partition and the ledger of what is booked on it: reported, or sent and not yet reported. */
-class Machine(val id: String, val type: MachineType, val spot: Boolean) : Place() {
+class Machine(
+    val id: String,
+    val type: MachineType,
+    val spot: Boolean,
+    private val imageCounts: ImageCounts = ImageCounts(),
+) : Place() {
     var session = 0L
     var seq = -1L
 
@@ -119,10 +126,14 @@
 
     /** Uses an image. What the machine has no space for besides has been dropped there, the longest unused first. */
     fun uses(spec: JobSpec) {
-        images.remove(spec.image)
+        if (images.remove(spec.image) == null) imageCounts.added(spec.image)
         images[spec.image] = spec.imageGb
         var size = images.values.sum()
-        while (size > type.cacheGb && images.size > 1) size -= images.remove(images.keys.first()) ?: 0.0
+        while (size > type.cacheGb && images.size > 1) {
+            val oldest = images.keys.first()
+            size -= images.remove(oldest) ?: 0.0
+            imageCounts.removed(oldest)
+        }
     }
 
     fun avoids(jobId: String, now: Long): Boolean =
--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -76,7 +76,15 @@
     private val health = MachineHealth({ machineList }, { machine(it) != null }, unreconciled)
     private val teams = TeamLedger(teamShares, ::unknownAmount)
 
-    private val attempts: AttemptLedger = AttemptLedger(token, teams) { scheduler.invalidate() }
+    /** What waits, by team; followed only where somebody asks for it. */
+    val waitingWork = WaitingWork(teamShares.size)
+
+    /** On how many machines each image is. */
+    val imageCounts = ImageCounts()
+    val fetchTimes = FetchTimes()
+
+    private val attempts: AttemptLedger =
+        AttemptLedger(token, teams, waitingWork) { scheduler.invalidate() }
 
     /** What the machines and jobs of this partition add up to. */
     val load = PartitionLoad({ machineList }, { jobList }, teams)
@@ -101,7 +109,13 @@
     }
     private val scheduler: Scheduler = Scheduler(ledger, aims, wallOf, random)
     private val slowTasks = SlowTaskDetector(zone)
-    private val reconciler = ReportReconciler(zone, attempts, ::job, slowTasks)
+    private val reconciler = ReportReconciler(zone, attempts, ::job, slowTasks, fetchTimes)
+
+    /** The names of the teams; their places are the indices that [PartitionJob.team] gives. */
+    val teamNames: List<String> get() = teams.names
+
+    /** How long tasks that completed here ran, the recent ones counting most; null: none has yet. */
+    val meanRunMs: Double? get() = slowTasks.meanRunMs
 
     val machines: List<Machine> get() = machineList
     val jobs: List<PartitionJob> get() = jobList
@@ -142,6 +156,7 @@
         held.pending.andNot(left)
         held.doubtful.andNot(left)
         held.leaving.andNot(left)
+        waitingWork.touch(held)
         if (!came.isEmpty) scheduler.invalidate()
     }
 
@@ -163,6 +178,7 @@
         }
         held.pending.andNot(chosen)
         held.leaving.or(chosen)
+        waitingWork.touch(held)
         return chosen
     }
 
@@ -175,6 +191,7 @@
         held.leaving.andNot(tasks)
         if (held.over || kept.isEmpty) return
         held.pending.or(kept)
+        waitingWork.touch(held)
         scheduler.invalidate()
     }
 
@@ -184,12 +201,14 @@
         held.unrecorded.andNot(job.done)
         held.pending.andNot(job.done)
         held.doubtful.andNot(job.done)
+        waitingWork.touch(held)
     }
 
     private fun drop(held: PartitionJob) {
         held.over = true
         held.pending.clear()
         held.doubtful.clear()
+        waitingWork.touch(held)
         jobByName.remove(held.id)
         scheduler.order.invalidate()
         for (attempt in held.active.values.toList()) {
@@ -249,6 +268,7 @@
         val machine = machine(id) ?: return
         attempts.releaseAll(machine)
         lastSeen.note(id, machine.session, machine.seq)
+        machine.images.keys.forEach(imageCounts::removed)
         machineByName.remove(id)
     }
 
@@ -302,6 +322,7 @@
             count += job.doubtful.cardinality()
             job.pending.or(job.doubtful)
             job.doubtful.clear()
+            waitingWork.touch(job)
         }
         scheduler.invalidate()
         log.info("{}: no doubt is left {} ms after the claim; {} tasks may start", zone, now - claimedMs, count)
@@ -317,7 +338,7 @@
         // machine that has been let go.
         val news = if (known != null) report.newerThan(known.session, known.seq) else lastSeen.isNews(report)
         if (!news) return ReportDecision.Stale
-        val machine = known ?: Machine(report.machine, type, report.spot).also {
+        val machine = known ?: Machine(report.machine, type, report.spot, imageCounts).also {
             machineByName.add(it)
             it.registered = it.id in registered
             it.firstSeenMs = now
@@ -389,7 +410,11 @@
     /** Jobs of which tasks wait, the most urgent first. */
     fun waitingInOrder(now: Long): List<PartitionJob> = scheduler.order.sorted(jobList, now)
 
-    private fun startable(job: PartitionJob): Int {
+    /** What the tasks of a team that are booked here take. */
+    fun usage(team: Int): Resources = teams.usage(team)
+
+    /** How many more tasks of the job its team's limit and its own spread allow here now. */
+    fun startable(job: PartitionJob): Int {
         if (job.team < 0) return 0
         val spec = job.spec
         var count = job.waiting
@@ -399,6 +424,21 @@
         return teams.startable(job.team, spec, count)
     }
 
+    /** Stops [attempt] so that its task is placed anew: what was only booked at once, the rest with the next answer. */
+    fun stopForMove(attempt: Attempt) = attempts.stop(attempt)
+
+    /**
+     * Says which jobs are within their team's guarantee: they are placed before others, and are not stopped for work
+     * that is not.
+     */
+    fun markCovered(now: Long, isCovered: (PartitionJob) -> Boolean) {
+        var changed = false
+        for (job in jobList) {
+            if (job.markCovered(isCovered(job), now)) changed = true
+        }
+        if (changed) scheduler.invalidate()
+    }
+
     fun allot(name: String, allotment: Amount) {
         if (teams.allot(name, allotment)) scheduler.invalidate()
     }
--- a/src/main/kotlin/io/otterknot/placement/PartitionChooser.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartitionChooser.kt
@@ -1,6 +1,7 @@
 package io.otterknot.placement
 
 import io.otterknot.state.Amount
+import io.otterknot.state.PressureRecord
 import io.otterknot.state.Span
 import io.otterknot.wire.JobSpec
 import kotlin.random.Random
@@ -38,6 +39,9 @@
     /** What teams need there beyond the partition's allotment. */
     var needs: Map<String, Amount> = emptyMap()
 
+    /** What presses on it, as its owner published it; null: the owner does not. */
+    var pressure: PressureRecord? = null
+
     /** Announced idle machines, as far as this node knows. */
     var idleMachines = 0
 }
--- a/src/main/kotlin/io/otterknot/placement/PartitionJob.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartitionJob.kt
@@ -52,6 +52,22 @@
     var begun = false
     val unbegun: Boolean get() = !begun && active.isEmpty() && job.done.isEmpty
 
+    /** It fits into its team's guarantee together with the team's earlier jobs, so it need not wait for other teams. */
+    var covered = false
+        private set
+
+    /** Since when it has been so. */
+    var coveredSinceMs = 0L
+        private set
+
+    /** Whether that is another answer than before. */
+    fun markCovered(isCovered: Boolean, now: Long): Boolean {
+        if (isCovered == covered) return false
+        covered = isCovered
+        coveredSinceMs = now
+        return true
+    }
+
     /** How long its tasks ran that completed in this partition. */
     val runs = RunTimes()
 
--- a/src/main/kotlin/io/otterknot/placement/PartitionLoad.kt
+++ b/src/main/kotlin/io/otterknot/placement/PartitionLoad.kt
@@ -10,6 +10,9 @@
 ) {
     val totalCores: Double get() = machines().sumOf { if (it.serving) it.type.cores else 0.0 }
 
+    val totalResources: Resources
+        get() = machines().fold(Resources.NONE) { sum, it -> if (it.serving) sum + Resources.of(it.type) else sum }
+
     val ordinaryCores: Double get() = machines().sumOf { if (!it.spot && it.serving) it.type.cores else 0.0 }
 
     /** Cores that the tasks of some jobs take here or wait for, as far as their teams' limits let them. */
--- a/src/main/kotlin/io/otterknot/placement/ReportReconciler.kt
+++ b/src/main/kotlin/io/otterknot/placement/ReportReconciler.kt
@@ -16,6 +16,7 @@
     private val attempts: AttemptLedger,
     private val job: (id: String) -> PartitionJob?,
     private val slowTasks: SlowTaskDetector,
+    private val fetchTimes: FetchTimes = FetchTimes(),
 ) {
     private val log = LoggerFactory.getLogger(ReportReconciler::class.java)
 
@@ -54,9 +55,11 @@
             if (phase == Phase.RUNNING) {
                 // Only of a task that was seen to fetch or to be sent is it known how long it has run.
                 attempt.ran = attempt.phase != Phase.SENT || attempt.started
+                if (attempt.phase == Phase.FETCHING) fetchTimes.fetched(machine, held.spec, now - attempt.since)
                 attempt.since = now
                 held.begun = true
             }
+            if (phase == Phase.SAVING) attempt.savingSinceMs = now
             machine.uses(held.spec)
             attempt.phase = phase
         }
@@ -79,6 +82,7 @@
                 held.unrecorded.set(task)
                 held.pending.clear(task)
                 held.doubtful.clear(task)
+                attempts.waitingChanged(held)
             }
             machine.failedJobs.clear()
             machine.failures = 0
@@ -163,11 +167,7 @@
     fun addCommands(machine: Machine, now: Long, commands: MutableList<Command>) {
         for (attempt in machine.attempts.values) {
             when {
-                attempt.halting && attempt.phase != Phase.BOOKED -> {
-                    val saves = attempt.job.spec.checkpointS > 0 && !attempt.job.over && !attempt.haltSent
-                    commands.add(Command.halt(attempt.name, attempt.id, if (saves) attempt.job.spec.saveS else 0.0))
-                    attempt.haltSent = true
-                }
+                attempt.halting && attempt.phase != Phase.BOOKED -> halt(attempt, now)?.let(commands::add)
 
                 attempt.phase == Phase.BOOKED -> {
                     attempt.phase = Phase.SENT
@@ -179,7 +179,23 @@
         }
     }
 
+    /**
+     * The stop of an attempt, which is repeated until it has exited; null: it saves its progress, which a second stop
+     * would cut short.
+     */
+    private fun halt(attempt: Attempt, now: Long): Command? {
+        val spec = attempt.job.spec
+        if (spec.checkpointS <= 0 || attempt.job.over) return Command.halt(attempt.name, attempt.id, 0.0)
+        val savingSince = attempt.savingSinceMs ?: return Command.halt(attempt.name, attempt.id, spec.saveS)
+        val savesTooLong = now - savingSince > spec.saveS * 1000 * LONGEST_SAVE + SAVE_MARGIN_MS
+        return if (savesTooLong) Command.halt(attempt.name, attempt.id, 0.0) else null
+    }
+
     private companion object {
+        /** A task that saves for so many times as long as its user says is ended. */
+        const val LONGEST_SAVE = 2
+        const val SAVE_MARGIN_MS = 5_000
+
         /** So many failures in a row make a machine faulty. */
         const val FAULTY = 3
     }
--- a/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
+++ b/src/main/kotlin/io/otterknot/placement/RoomMaker.kt
@@ -49,14 +49,14 @@
             }
             if (left == 0) continue
             val options = PriorityQueue<Option>(compareBy { it.cost })
-            for (machine in possible) option(machine, spec, stoppable, now)?.let(options::add)
+            for (machine in possible) option(machine, job, stoppable, now)?.let(options::add)
             val waits = patient(job)
             while (left > 0) {
                 val best = options.poll() ?: break
                 best.machine.held(priority).add(spec)
                 left--
                 if (!waits) best.victims.forEach(stop)
-                option(best.machine, spec, stoppable, now)?.let(options::add)
+                option(best.machine, job, stoppable, now)?.let(options::add)
             }
             if (left > 0) hopeless.add(spec)
         }
@@ -65,10 +65,11 @@
     /** The attempts to stop so that a task fits, those that lose least first; null: not even then would it. */
     private fun option(
         machine: Machine,
-        spec: JobSpec,
+        job: PartitionJob,
         stoppable: MutableMap<Machine, List<Attempt>>,
         now: Long,
     ): Option? {
+        val spec = job.spec
         val lesser = stoppable.getOrPut(machine) {
             machine.attempts.values.filter { it.job.spec.priority > spec.priority && !it.kept }.sortedBy {
                 if (it.job.missedAims >
@@ -85,6 +86,7 @@
         val victims = ArrayList<Attempt>()
         for (attempt in lesser) {
             if (attempt.halting || !attempt.holds) continue
+            if (attempt.job.covered && !mayStopCovered(job, now)) continue
             open.add(attempt.job.spec)
             victims.add(attempt)
             if (open.covers(spec)) {
@@ -98,6 +100,13 @@
         return null
     }
 
+    /**
+     * What a team runs within its guarantee gives way only to work within another's, and to that only once it has been
+     * so for a while: room that comes free goes to it first.
+     */
+    private fun mayStopCovered(job: PartitionJob, now: Long): Boolean =
+        job.covered && now - job.coveredSinceMs >= COVERED_PATIENCE_MS
+
     /** Core-seconds that go by before the task can begin there. */
     private fun fetch(machine: Machine, spec: JobSpec): Double = if (spec.image in machine.images ||
         machine.type.fetchGbPerS <= 0
@@ -114,5 +123,6 @@
     private companion object {
         /** How much dearer it is to stop a task of a job that may still meet its aims: one late task makes it late. */
         const val STILL_GOOD = 3.0
+        const val COVERED_PATIENCE_MS = 2_500L
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/RunTimes.kt
+++ b/src/main/kotlin/io/otterknot/placement/RunTimes.kt
@@ -34,6 +34,9 @@
 
     val slow: Boolean get() = level > SLOW
 
+    /** How many times as long as on other machines its tasks take. */
+    val ratio: Double get() = level
+
     override fun toString() = "%.1f".format(level)
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -120,25 +120,13 @@
             val machine = JobCandidates(fitting, job.spec, ordinaryWork) { true }.choose(random, job.spec) ?: continue
             ledger.book(job, machine, now).kept = true
         }
+        // Work within a team's guarantee need not wait for other teams.
+        for (priority in Priority.entries) serve(order.coveredQueues(priority), open, only, now)
         val makingRoom = only == null && now - roomMs >= ROOM_MS
         if (makingRoom) roomMs = now
         for (priority in Priority.entries) {
             val queues = order.queues(priority)
-            for (queue in queues) queue.next = 0
-            while (true) {
-                val queue = nextInTurn(queues) ?: break
-                val job = if (only ==
-                    null
-                ) {
-                    queue.jobs[queue.next]
-                } else {
-                    queue.pick {
-                        it.spec.image in only.images && mayStart(it, now) &&
-                            fits(it, only, now)
-                    }
-                }
-                if (!mayStart(job, now) || placeOne(job, open, only, now) == null) queue.next++
-            }
+            serve(queues, open, only, now)
             if (makingRoom && priority < Priority.BEST_EFFORT) {
                 val waiting = queues.flatMap { queue ->
                     queue.jobs.filter { !it.pending.isEmpty && it.retryAtMs <= now }
@@ -148,6 +136,23 @@
         }
     }
 
+    /**
+     * Serves [queues] in turn by the teams' shares. After a report of one machine alone, [only], a job whose image that
+     * machine has may come before others that are as urgent.
+     */
+    private fun serve(queues: List<WaitOrder.Queue>, open: List<Machine>, only: Machine?, now: Long) {
+        for (queue in queues) queue.next = 0
+        while (true) {
+            val queue = nextInTurn(queues) ?: return
+            val job = if (only == null) {
+                queue.jobs[queue.next]
+            } else {
+                queue.pick { it.spec.image in only.images && mayStart(it, now) && fits(it, only, now) }
+            }
+            if (!mayStart(job, now) || placeOne(job, open, only, now) == null) queue.next++
+        }
+    }
+
     private fun nextInTurn(queues: List<WaitOrder.Queue>): WaitOrder.Queue? {
         var chosen: WaitOrder.Queue? = null
         var least = Double.MAX_VALUE
@@ -166,7 +171,10 @@
         !job.pending.isEmpty && job.retryAtMs <= now && ledger.startable(job) > 0
 
     private fun fits(job: PartitionJob, machine: Machine, now: Long) =
-        machine.allowed(job.spec) && machine.spareFor(job.spec) && !machine.avoids(job.id, now)
+        machine.allowed(job.spec) && hasRoom(job, machine) && !machine.avoids(job.id, now)
+
+    private fun hasRoom(job: PartitionJob, machine: Machine): Boolean =
+        if (order.ignoresHeldRoom(job)) machine.roomFor(job.spec) else machine.spareFor(job.spec)
 
     private fun placeOne(job: PartitionJob, open: List<Machine>, only: Machine?, now: Long): Attempt? {
         val machine = if (only != null) {
--- a/src/main/kotlin/io/otterknot/placement/SlowTaskDetector.kt
+++ b/src/main/kotlin/io/otterknot/placement/SlowTaskDetector.kt
@@ -6,12 +6,17 @@
 class SlowTaskDetector(private val zone: String) {
     private val log = LoggerFactory.getLogger(SlowTaskDetector::class.java)
 
+    /** How long tasks that completed here ran, the recent ones counting most; null: none has yet. */
+    var meanRunMs: Double? = null
+        private set
+
     /** [attempt] has completed on [machine]. */
     fun completed(machine: Machine, attempt: Attempt, now: Long) {
         if (!attempt.ran) return
         val ms = now - attempt.since
         val ratio = attempt.job.runs.ratio(ms)
         attempt.job.runs.add(ms)
+        meanRunMs = meanRunMs?.let { it + (ms - it) * MEAN_WEIGHT } ?: ms.toDouble()
         if (ratio != null) noteSlowness(machine, ratio)
     }
 
@@ -50,6 +55,7 @@
     private companion object {
         const val SLOW_MACHINE_RATIO = 2.0
         const val SINGLE_TASK_RATIO = 4.0
+        const val MEAN_WEIGHT = 0.05
         const val LEAST_RUN_MS = 20_000L
     }
 }
--- a/src/main/kotlin/io/otterknot/placement/TeamLedger.kt
+++ b/src/main/kotlin/io/otterknot/placement/TeamLedger.kt
@@ -16,20 +16,28 @@
     }
     private val usedCores = DoubleArray(teams.size)
     private val usedCards = DoubleArray(teams.size)
+    private val usedMemoryGb = DoubleArray(teams.size)
+
+    val names: List<String> = teams.map { it.name }
 
     fun index(name: String): Int = indexByName.getInt(name)
 
     /** What a team uses for its share: the lower, the sooner its jobs are served. */
     fun pressure(team: Int): Double = if (team < 0) 0.0 else usedCores[team] / teams[team].weight
 
-    fun book(team: Int, spec: JobSpec) = use(team, spec.cores, spec.cards)
+    /** What the tasks of a team that are booked here take. */
+    fun usage(team: Int): Resources =
+        if (team < 0) Resources.NONE else Resources(usedCores[team], usedMemoryGb[team], usedCards[team])
+
+    fun book(team: Int, spec: JobSpec) = use(team, spec, 1)
 
-    fun unbook(team: Int, spec: JobSpec) = use(team, -spec.cores, -spec.cards)
+    fun unbook(team: Int, spec: JobSpec) = use(team, spec, -1)
 
-    private fun use(team: Int, cores: Double, cards: Double) {
+    private fun use(team: Int, spec: JobSpec, tasks: Int) {
         if (team < 0) return
-        usedCores[team] += cores
-        usedCards[team] += cards
+        usedCores[team] += spec.cores * tasks
+        usedCards[team] += spec.cards * tasks
+        usedMemoryGb[team] += spec.memoryGb * tasks
     }
 
     /** Whether the team is known. */
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -30,6 +30,9 @@
     }
 
     private val queues = Array(Priority.entries.size) { ArrayList<Queue>() }
+
+    /** Of the jobs within their team's guarantee alone. */
+    private val coveredQueues = Array(Priority.entries.size) { ArrayList<Queue>() }
     private var madeMs = Long.MIN_VALUE / 2
     private var stale = true
 
@@ -43,6 +46,16 @@
      */
     val overdue = ArrayList<PartitionJob>()
 
+    /** The most urgent priority of the jobs that wait and are not within their team's guarantee; null: all are. */
+    private var mostUrgentUncovered: Priority? = null
+
+    /**
+     * Whether a job goes before work that is more urgent and for which room is held: it is within its team's guarantee,
+     * and some of that work is not.
+     */
+    fun ignoresHeldRoom(job: PartitionJob): Boolean =
+        job.covered && mostUrgentUncovered?.let { it < job.spec.priority } ?: false
+
     val empty: Boolean get() = leastCores == Double.MAX_VALUE
 
     fun invalidate() {
@@ -51,21 +64,34 @@
 
     fun queues(priority: Priority): List<Queue> = queues[priority.ordinal]
 
+    fun coveredQueues(priority: Priority): List<Queue> = coveredQueues[priority.ordinal]
+
     fun refresh(jobs: List<PartitionJob>, now: Long) {
         if (!stale && now - madeMs < KEEP_MS) return
         stale = false
         madeMs = now
         leastCores = Double.MAX_VALUE
         overdue.clear()
+        mostUrgentUncovered = null
+        coveredQueues.forEach { it.clear() }
         queues.forEach { it.clear() }
         for (job in sorted(jobs, now)) {
             leastCores = minOf(leastCores, job.spec.cores)
             if (job.unbegun && wallOf(now) - job.readyMs > BEGIN_MS) overdue.add(job)
-            val level = queues[job.spec.priority.ordinal]
-            (level.firstOrNull { it.team == job.team } ?: Queue(job.team).also(level::add)).jobs.add(job)
+            add(job, queues)
+            if (job.covered) {
+                add(job, coveredQueues)
+            } else {
+                mostUrgentUncovered = listOfNotNull(mostUrgentUncovered, job.spec.priority).min()
+            }
         }
     }
 
+    private fun add(job: PartitionJob, to: Array<ArrayList<Queue>>) {
+        val level = to[job.spec.priority.ordinal]
+        (level.firstOrNull { it.team == job.team } ?: Queue(job.team).also(level::add)).jobs.add(job)
+    }
+
     /** Jobs of which tasks wait, the most urgent first. */
     fun sorted(jobs: List<PartitionJob>, now: Long): List<PartitionJob> {
         val wall = wallOf(now)
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/DrainPlanner.kt
@@ -0,0 +1,74 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.LoadSpreadSettings
+
+/**
+ * Decides which tasks on machines that are being emptied are stopped, since they end sooner elsewhere: slow machines
+ * above all. PROTOCOL allows a task to be stopped in order to drain its machine.
+ */
+class DrainPlanner(private val settings: LoadSpreadSettings) {
+    private val weights = CostWeights(settings.fetchWeight, settings.lostWorkWeight)
+
+    fun plan(snapshot: PlannerSnapshot): Plan {
+        val moves = ArrayList<Move>()
+        val refusals = ArrayList<Refusal>()
+        val limits = StopLimits(settings, snapshot)
+        for (machine in snapshot.machines) {
+            if (!machine.draining) continue
+            for (task in machine.tasks) {
+                if (task.isBusyOrKept) continue
+                val gainS = gain(task, machine, snapshot)
+                val refused = hindrance(task, gainS) ?: limits.hindrance(listOf(task))
+                if (refused != null) {
+                    refusals.add(Refusal(task.team, task.spec.id, refused))
+                    continue
+                }
+                limits.note(listOf(task))
+                moves.add(stop(task, machine, gainS, snapshot))
+            }
+        }
+        return Plan(moves, refusals)
+    }
+
+    private fun hindrance(task: RunningTask, gainS: Double): RefusalReason? = when {
+        task.coolsDown -> RefusalReason.COOLDOWN
+        task.remainingS < settings.leastRemainingS -> RefusalReason.ENDS_SOON
+        gainS < settings.marginS -> RefusalReason.GAIN_TOO_SMALL
+        else -> null
+    }
+
+    /** How much sooner the task would end on another machine of the partition. */
+    private fun gain(task: RunningTask, machine: MachineState, snapshot: PlannerSnapshot): Double {
+        val spec = task.spec
+        val partition = snapshot.cluster.partitions.getValue(snapshot.zone)
+        val runHereS = task.remainingS * machine.slowness
+        val here = PlaceCost(runHereS, ImageCost(true, spec.imageGb, machine.fetchGbPerS))
+        val image = ImageCost(
+            atHand = spec.image in partition.images,
+            imageGb = spec.imageGb,
+            fetchGbPerS = machine.fetchGbPerS,
+            measuredFactor = partition.fetchFactor,
+        )
+        val queueS = maxOf(
+            0.0,
+            snapshot.cluster.waitS(task.team, snapshot.zone, spec) - snapshot.cluster.runS(snapshot.zone),
+        )
+        // What it has done here is repeated there unless it saves; the cost of that is in the stop.
+        val there = PlaceCost(queueS + task.remainingS, image, stop = task.stopCost)
+        return LocalityCost.gain(here, there, weights)
+    }
+
+    private fun stop(task: RunningTask, machine: MachineState, gainS: Double, snapshot: PlannerSnapshot) = Move.Stop(
+        zone = snapshot.zone,
+        team = task.team,
+        job = task.spec.id,
+        reason = MoveReason.DRAIN,
+        gainS = gainS,
+        task = task.task,
+        attempt = task.attempt,
+        machine = machine.id,
+        cores = task.spec.cores,
+        lostCoreS = task.lostCoreS,
+        beneficiary = null,
+    )
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/GuaranteeCover.kt
@@ -0,0 +1,53 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.TeamFacts
+import io.otterknot.state.Amount
+import io.otterknot.state.Job
+
+/** What one team's unfinished job takes of its guarantee. */
+data class UnfinishedJob(val id: String, val team: String, val submittedMs: Long, val amount: Amount) {
+    companion object {
+        /** Null: the job is over, waits for others, or is not known well enough; it takes nothing. */
+        fun of(job: Job): UnfinishedJob? {
+            val spec = job.spec ?: return null
+            if (job.outcome != null || !job.ready) return null
+            val tasks = spec.tasks - job.done.cardinality()
+            val amount = Amount(tasks * spec.cores, tasks * spec.cards)
+            return UnfinishedJob(job.id, spec.team, job.record?.submittedMs ?: 0, amount)
+        }
+    }
+}
+
+/**
+ * Which jobs are within their team's guarantee: those that fit into it together with all of the team's earlier jobs
+ * that are not finished. Every controller that has read as much of the state finds the same.
+ */
+class GuaranteeCover(teams: List<TeamFacts>) {
+    private val guarantees = teams.filter { it.cpus > 0 || it.gpus > 0 }.associateBy { it.name }
+
+    /** Whether any team has a guarantee at all. */
+    val isEmpty: Boolean get() = guarantees.isEmpty()
+
+    /** The ids of the jobs within their team's guarantee. */
+    fun covered(jobs: Collection<UnfinishedJob>): Set<String> {
+        val covered = HashSet<String>()
+        for ((team, ofTeam) in jobs.groupBy { it.team }) {
+            val guarantee = guarantees[team] ?: continue
+            val inOrder = ofTeam.sortedWith(compareBy<UnfinishedJob> { it.submittedMs }.thenBy { it.id })
+            var taken = Amount()
+            for (job in inOrder) {
+                taken += job.amount
+                if (!fits(taken, guarantee)) break
+                covered.add(job.id)
+            }
+        }
+        return covered
+    }
+
+    private fun fits(taken: Amount, guarantee: TeamFacts): Boolean =
+        taken.cores <= guarantee.cpus + EPS && taken.cards <= guarantee.gpus + EPS
+
+    private companion object {
+        const val EPS = 1e-6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/GuaranteePlanner.kt
@@ -0,0 +1,133 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.placement.Resources
+
+/**
+ * Decides which running tasks are stopped so that a team gets its guarantee. Only work of teams that use more than
+ * theirs is stopped, never more of it than the excess, and nothing that is itself within a guarantee. Work within a
+ * guarantee is placed before all other, so room that comes by itself goes to it; a task is stopped only where that
+ * would take too long.
+ */
+class GuaranteePlanner(private val settings: LoadSpreadSettings) {
+    private val weights = CostWeights(settings.fetchWeight, settings.lostWorkWeight)
+
+    fun plan(snapshot: PlannerSnapshot): Plan {
+        val moves = ArrayList<Move>()
+        val refusals = ArrayList<Refusal>()
+        val limits = StopLimits(settings, snapshot)
+        val rooms = snapshot.machines.filterNot { it.draining }.map(::MachineRoom)
+        var coresAhead = 0.0
+        for (job in snapshot.waiting) {
+            if (!job.covered || job.startable <= 0) continue
+            coresAhead += job.startable * job.spec.cores
+            val refused = hindrance(job, coresAhead, snapshot)
+            if (refused != null) {
+                refusals.add(Refusal(job.team, job.spec.id, refused))
+                continue
+            }
+            val served = snapshot.open.stopsForJob[job.spec.id] ?: 0
+            repeat(job.startable - served) {
+                val refusal = makeRoom(job, rooms, limits, snapshot, moves) ?: return@repeat
+                refusals.add(Refusal(job.team, job.spec.id, refusal))
+                return Plan(moves, refusals)
+            }
+        }
+        return Plan(moves, refusals)
+    }
+
+    /** [coresAhead]: what waits within guarantees up to this job. */
+    private fun hindrance(job: WaitingJob, coresAhead: Double, snapshot: PlannerSnapshot): RefusalReason? {
+        if (job.waitedS < settings.patienceS) return RefusalReason.PATIENCE
+        val partition = snapshot.cluster.partitions.getValue(snapshot.zone)
+        val busyCores = partition.teams.orEmpty().values.sumOf { it.used.cores }
+        // So many cores come free a second by themselves, and go to work within a guarantee first.
+        val turnover = busyCores / snapshot.cluster.runS(snapshot.zone)
+        val comesSoon = turnover > 0 && coresAhead / turnover < settings.marginS
+        return if (comesSoon) RefusalReason.ROOM_COMES_SOON else null
+    }
+
+    /** Chooses where one task of [job] gets room; the reason if nowhere. */
+    private fun makeRoom(
+        job: WaitingJob,
+        rooms: List<MachineRoom>,
+        limits: StopLimits,
+        snapshot: PlannerSnapshot,
+        moves: MutableList<Move>,
+    ): RefusalReason? {
+        val best = rooms.filter { it.machine.allows(job.spec) }
+            .mapNotNull { room -> room.option(job, limits) }
+            .minWithOrNull(compareBy<Option> { it.cost }.thenBy { it.room.machine.id })
+            ?: return RefusalReason.NOTHING_TO_STOP
+        limits.hindrance(best.tasks)?.let { return it }
+        limits.note(best.tasks)
+        best.room.take(best.tasks, job)
+        best.tasks.mapTo(moves) { stop(it, best, job, snapshot) }
+        return null
+    }
+
+    private fun stop(task: RunningTask, option: Option, job: WaitingJob, snapshot: PlannerSnapshot) = Move.Stop(
+        zone = snapshot.zone,
+        team = task.team,
+        job = task.spec.id,
+        reason = MoveReason.GUARANTEE,
+        gainS = option.tasks.minOf { it.remainingS },
+        task = task.task,
+        attempt = task.attempt,
+        machine = option.room.machine.id,
+        cores = task.spec.cores,
+        lostCoreS = task.lostCoreS,
+        beneficiary = job.spec.id,
+    )
+
+    private class Option(val room: MachineRoom, val tasks: List<RunningTask>, val cost: Double)
+
+    /** What a machine has room for while one plan is made. */
+    private inner class MachineRoom(val machine: MachineState) {
+        private var free = machine.free
+        private val stopped = HashSet<Long>()
+
+        /** The tasks to stop so that one of [job] fits, those that lose least first; null: not even then would it. */
+        fun option(job: WaitingJob, limits: StopLimits): Option? {
+            val needed = Resources.of(job.spec)
+            var room = free
+            val chosen = ArrayList<RunningTask>()
+            val excess = HashMap<String, Double>()
+            for (task in machine.tasks.sortedWith(STOP_ORDER)) {
+                if (room.covers(needed)) break
+                if (!mayStop(task, job)) continue
+                val left = excess.getOrPut(task.team) { limits.excessLeft(task.team) }
+                if (left < task.spec.cores) continue
+                excess[task.team] = left - task.spec.cores
+                room += Resources.of(task.spec)
+                chosen.add(task)
+            }
+            if (chosen.isEmpty() || !room.covers(needed)) return null
+            return Option(this, chosen, cost(job, chosen))
+        }
+
+        private fun mayStop(task: RunningTask, job: WaitingJob): Boolean = task.team != job.team &&
+            !task.covered && !task.isBusyOrKept && !task.coolsDown && task.attempt !in stopped &&
+            task.remainingS >= settings.leastRemainingS &&
+            (settings.anyPriority || task.priority >= job.spec.priority)
+
+        private fun cost(job: WaitingJob, chosen: List<RunningTask>): Double {
+            val image = ImageCost(machine.hasImage(job.spec.image), job.spec.imageGb, machine.fetchGbPerS)
+            return chosen.sumOf { it.lostCoreS } * weights.lostWork + image.seconds * job.spec.cores * weights.fetch
+        }
+
+        /** [tasks] leave, and one of [job] takes their room. */
+        fun take(tasks: List<RunningTask>, job: WaitingJob) {
+            for (task in tasks) {
+                free += Resources.of(task.spec)
+                stopped.add(task.attempt)
+            }
+            free -= Resources.of(job.spec)
+        }
+    }
+
+    private companion object {
+        /** The least urgent first, then what loses least. */
+        val STOP_ORDER = compareByDescending<RunningTask> { it.priority }.thenBy { it.lostCoreS }.thenBy { it.attempt }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/HandOverPlanner.kt
@@ -0,0 +1,121 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.wire.JobSpec
+
+/**
+ * Decides which waiting tasks go to which partition. A task goes where it is expected to begin sooner, its image and the
+ * handover itself counted; so many of them go that both waits meet, or they would swing back.
+ */
+class HandOverPlanner(private val settings: LoadSpreadSettings) {
+    private val weights = CostWeights(settings.fetchWeight, settings.lostWorkWeight)
+
+    fun plan(snapshot: PlannerSnapshot): Plan {
+        if (snapshot.open.handOverUnderWay) return Plan.EMPTY
+        val moves = ArrayList<Move>()
+        val refusals = ArrayList<Refusal>()
+        val taken = HashMap<String, Double>()
+        for (job in snapshot.waiting.take(settings.examinedJobs)) {
+            if (moves.size >= settings.handOversPerPlan) {
+                refusals.add(Refusal(job.team, job.spec.id, RefusalReason.TOO_MANY_MOVES))
+                continue
+            }
+            val refused = hindrance(job)
+            if (refused != null) {
+                refusals.add(Refusal(job.team, job.spec.id, refused))
+                continue
+            }
+            when (val choice = choose(job, snapshot, taken)) {
+                is Choice.Refused -> refusals.add(Refusal(job.team, job.spec.id, choice.reason))
+
+                is Choice.Chosen -> {
+                    moves.add(choice.move)
+                    taken.merge(choice.move.target, choice.move.cores, Double::plus)
+                    taken.merge(snapshot.zone, -choice.move.cores, Double::plus)
+                }
+            }
+        }
+        return Plan(moves, refusals)
+    }
+
+    private fun hindrance(job: WaitingJob): RefusalReason? {
+        val arrivedS = job.arrivedS
+        return when {
+            job.spec.zone != null -> RefusalReason.BOUND_TO_ZONE
+            job.spec.oneZone && !job.allWaits -> RefusalReason.PARTLY_PLACED
+            arrivedS != null && arrivedS < settings.returnAfterS -> RefusalReason.JUST_ARRIVED
+            else -> null
+        }
+    }
+
+    private sealed interface Choice {
+        class Chosen(val move: Move.HandOver) : Choice
+        class Refused(val reason: RefusalReason) : Choice
+    }
+
+    /** [taken]: cores that earlier moves of this plan bring to each partition, or take away. */
+    private fun choose(job: WaitingJob, snapshot: PlannerSnapshot, taken: Map<String, Double>): Choice {
+        val spec = job.spec
+        val targets = snapshot.targets(spec).filter { it != snapshot.zone }
+        val here = place(job, snapshot.zone, snapshot, taken)
+        val best = targets.map { it to LocalityCost.gain(here, there(job, it, snapshot, taken), weights) }
+            .maxWithOrNull(compareBy<Pair<String, Double>> { it.second }.thenByDescending { it.first })
+            ?: return Choice.Refused(RefusalReason.NO_TARGET)
+        val (target, gainS) = best
+        val reason = reason(job, target, gainS, snapshot) ?: return Choice.Refused(RefusalReason.GAIN_TOO_SMALL)
+        val amount = amount(job, target, gainS, snapshot)
+        val isTooLarge = spec.oneZone && reason != MoveReason.OVERDUE && job.waitingCores > amount * 2
+        if (isTooLarge) return Choice.Refused(RefusalReason.GAIN_TOO_SMALL)
+        val cores = if (spec.oneZone) job.waitingCores else minOf(job.waitingCores, maxOf(amount, spec.cores))
+        return Choice.Chosen(Move.HandOver(snapshot.zone, job.team, spec.id, reason, gainS, cores, target))
+    }
+
+    private fun reason(job: WaitingJob, target: String, gainS: Double, snapshot: PlannerSnapshot): MoveReason? {
+        if (gainS >= settings.marginS) return MoveReason.SHORTER_WAIT
+        val there = snapshot.cluster.partitions.getValue(target).meanFor(job.spec)
+        val here = snapshot.cluster.partitions.getValue(snapshot.zone).meanFor(job.spec)
+        // Nothing waits for long while another partition has room, however little there is to gain.
+        val isOverdue = job.waitedS > OVERDUE_S && there < ROOMY && here - there > LEAST_GAP
+        return if (isOverdue) MoveReason.OVERDUE else null
+    }
+
+    private fun there(job: WaitingJob, zone: String, snapshot: PlannerSnapshot, taken: Map<String, Double>) =
+        place(job, zone, snapshot, taken).copy(moveS = settings.handOverDelayS)
+
+    private fun place(
+        job: WaitingJob,
+        zone: String,
+        snapshot: PlannerSnapshot,
+        taken: Map<String, Double>,
+    ): PlaceCost {
+        val spec = job.spec
+        val partition = snapshot.cluster.partitions.getValue(zone)
+        val extraS = (taken[zone] ?: 0.0) / partition.coresFor(spec) * snapshot.cluster.runS(zone)
+        val waitS = snapshot.cluster.waitS(job.team, zone, spec) + extraS
+        return PlaceCost(maxOf(0.0, waitS), image(spec, partition))
+    }
+
+    private fun image(spec: JobSpec, partition: PartitionPressure) = ImageCost(
+        atHand = spec.image in partition.images,
+        imageGb = spec.imageGb,
+        fetchGbPerS = NOMINAL_GB_PER_S,
+        measuredFactor = partition.fetchFactor,
+    )
+
+    /** Half of the difference, in cores of the smaller partition: both waits then meet, and nothing swings back. */
+    private fun amount(job: WaitingJob, target: String, gainS: Double, snapshot: PlannerSnapshot): Double {
+        val here = snapshot.cluster.partitions.getValue(snapshot.zone)
+        val there = snapshot.cluster.partitions.getValue(target)
+        val cores = minOf(here.coresFor(job.spec), there.coresFor(job.spec))
+        return maxOf(0.0, gainS) / 2 / snapshot.cluster.runS(target) * cores
+    }
+
+    private companion object {
+        const val OVERDUE_S = 45.0
+        const val ROOMY = 0.97
+        const val LEAST_GAP = 0.02
+
+        /** Partitions publish no rates; machine types differ little in theirs. */
+        const val NOMINAL_GB_PER_S = 1.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/Mover.kt
@@ -0,0 +1,101 @@
+package io.otterknot.rebalance
+
+import io.otterknot.ownership.TaskTransfer
+import io.otterknot.placement.Partition
+
+/**
+ * Carries out the moves of one partition and follows them. It keeps nothing durable: stops go out with answers to
+ * reports as any other, handovers are guarded transactions as any other.
+ */
+class Mover(
+    private val partition: Partition,
+    private val transfer: TaskTransfer,
+    private val journal: MoveJournal,
+    private val history: MoveHistory,
+    private val budget: LostWorkBudget,
+    /** Whether this node still owns the partition under this token. */
+    private val ownsPartition: () -> Boolean,
+) {
+    private val open = ArrayList<OpenMove>()
+
+    /** A transaction of a handover is under way. */
+    var isHandingOver = false
+        private set
+
+    fun openMoves(): OpenMoves {
+        val stopping = open.filter { it.state == MoveState.STOPPING }
+        return OpenMoves(
+            stops = stopping.size,
+            stopsByTeam = stopping.groupingBy { it.move.team }.eachCount(),
+            stopsByJob = stopping.groupingBy { it.move.job }.eachCount(),
+            stoppingCoresByTeam = stopping.groupBy { it.move.team }.mapValues { (_, moves) ->
+                moves.sumOf { it.move.cores }
+            },
+            stopsForJob = stopping.mapNotNull { it.move.beneficiary }.groupingBy { it }.eachCount(),
+            handOverUnderWay = isHandingOver,
+        )
+    }
+
+    /** Begins to stop a task, if it still is where the plan saw it. */
+    fun stop(move: Move.Stop, now: Long) {
+        val attempt = partition.machine(move.machine)?.attempts?.get(move.attempt)
+        if (attempt == null || attempt.halting || !attempt.holds || !ownsPartition()) {
+            journal.ended(move, MoveState.ABANDONED, MoveOutcome.TASK_GONE)
+            return
+        }
+        history.stopped(move.job, move.task, now)
+        budget.take(move.lostCoreS)
+        val followed = OpenMove(move, partition, attempt, now)
+        open.add(followed)
+        journal.proposed(move)
+        followed.begin(now)
+    }
+
+    /** Follows what is under way. */
+    fun advance(now: Long) {
+        if (open.isEmpty()) return
+        val owns = ownsPartition()
+        for (move in open) {
+            if (move.advance(now, owns) && move.state.isFinal) journal.ended(move, now)
+        }
+        open.removeIf { it.state.isFinal }
+    }
+
+    /** Hands waiting tasks over; returns once it is known what became of them. */
+    suspend fun handOver(move: Move.HandOver) {
+        val job = partition.job(move.job)
+        if (job == null || job.over || !ownsPartition()) {
+            journal.ended(move, MoveState.ABANDONED, MoveOutcome.TASK_GONE)
+            return
+        }
+        val tasks = partition.setAside(job, move.cores)
+        if (tasks.isEmpty) {
+            journal.ended(move, MoveState.ABANDONED, MoveOutcome.TASK_GONE)
+            return
+        }
+        journal.proposed(move)
+        isHandingOver = true
+        try {
+            when (transfer.transfer(partition, job, tasks, move.target)) {
+                TaskTransfer.Outcome.MOVED -> journal.ended(move, MoveState.PLACED, null, tasks.cardinality())
+
+                TaskTransfer.Outcome.STAYED ->
+                    journal.ended(move, MoveState.ABANDONED, MoveOutcome.NOT_TRANSFERRED)
+
+                TaskTransfer.Outcome.PARTITION_LOST ->
+                    journal.ended(move, MoveState.ABANDONED, MoveOutcome.OWNERSHIP_LOST)
+            }
+        } finally {
+            isHandingOver = false
+        }
+    }
+
+    /** The owner is another by now, or load spread was switched off: nothing is followed any more. */
+    fun giveUp(now: Long) {
+        for (move in open) {
+            move.advance(now, ownsPartition())
+            if (move.state.isFinal) journal.ended(move, now)
+        }
+        open.clear()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/Planner.kt
@@ -0,0 +1,27 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.LoadSpreadSettings
+
+/**
+ * Plans the moves of one partition. The same snapshot always gives the same plan: it reads no clock, and what is random
+ * in it, the sample of machines, was drawn when the snapshot was taken.
+ */
+class Planner(private val settings: LoadSpreadSettings) {
+    private val handOvers = HandOverPlanner(settings)
+    private val guarantees = GuaranteePlanner(settings)
+    private val drains = DrainPlanner(settings)
+
+    fun plan(snapshot: PlannerSnapshot): Plan {
+        val parts = ArrayList<Plan>()
+        if (settings.drains) parts.add(drains.plan(snapshot))
+        if (settings.guarantees) parts.add(guarantees.plan(snapshot))
+        if (settings.handOvers) parts.add(handOvers.plan(snapshot))
+        return Plan(withoutRepeats(parts.flatMap { it.moves }), parts.flatMap { it.refusals })
+    }
+
+    /** A task may be on a machine that is being emptied, and in the way of another team's guarantee as well. */
+    private fun withoutRepeats(moves: List<Move>): List<Move> {
+        val stopped = HashSet<Long>()
+        return moves.filter { it !is Move.Stop || stopped.add(it.attempt) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/Pressure.kt
@@ -0,0 +1,109 @@
+package io.otterknot.rebalance
+
+import io.otterknot.placement.Resources
+import io.otterknot.wire.JobSpec
+
+/** What one team uses of a partition, and what waits of it there. */
+data class TeamPressure(
+    val used: Resources = Resources.NONE,
+    val waitingCores: Double = 0.0,
+    /** Since when its oldest waiting task could run, by the time of day; null: nothing waits. */
+    val oldestReadyMs: Long? = null,
+)
+
+/** What presses on one partition: its own owner's view, or what that owner has published. */
+data class PartitionPressure(
+    val zone: String,
+    /** What machines that take work have there. */
+    val capacity: Resources,
+    val ordinaryCores: Double,
+    /** The mean of the loads, what waits included; and that of ordinary machines alone. */
+    val mean: Double,
+    val ordinaryMean: Double,
+    /** How long tasks run there; null: not known. */
+    val meanRunS: Double?,
+    val fetchFactor: Double = 1.0,
+    /** Images that many machines there have. */
+    val images: Set<String> = emptySet(),
+    /** By team; null: the owner is of a version that publishes the mean alone. */
+    val teams: Map<String, TeamPressure>? = null,
+) {
+    fun meanFor(spec: JobSpec): Double = if (spec.spot) mean else maxOf(ordinaryMean, 0.0)
+
+    fun coresFor(spec: JobSpec): Double = maxOf(if (spec.spot) capacity.cores else ordinaryCores, 1.0)
+}
+
+/** All partitions and teams together, as one controller sees them at one moment. */
+class ClusterPressure(val partitions: Map<String, PartitionPressure>, private val teams: Map<String, TeamTerms>) {
+    private val runS = partitions.values.mapNotNull { it.meanRunS }.ifEmpty { null }?.average() ?: DEFAULT_RUN_S
+
+    private val capacity: Resources = partitions.values.fold(Resources.NONE) { sum, it -> sum + it.capacity }
+
+    private val used: Map<String, Resources> = teams.keys.associateWith { team ->
+        partitions.values.fold(Resources.NONE) { sum, partition ->
+            sum + (partition.teams?.get(team)?.used ?: Resources.NONE)
+        }
+    }
+
+    /** What a team uses in all partitions whose owners publish it: where one does not, this is too little. */
+    fun used(team: String): Resources = used[team] ?: Resources.NONE
+
+    fun dominantShare(team: String): Double = used(team).dominantShare(capacity)
+
+    /** The share of the cluster that each team is due. */
+    val fairShares: Map<String, Double> by lazy(LazyThreadSafetyMode.NONE) {
+        FairShares.of(teams.map { (team, terms) -> demand(team, terms) })
+    }
+
+    private fun demand(team: String, terms: TeamTerms): TeamDemand {
+        val waiting = partitions.values.sumOf { it.teams?.get(team)?.waitingCores ?: 0.0 }
+        val demand = (used(team) + Resources(cores = waiting)).dominantShare(capacity)
+        val guaranteed = Resources(cores = terms.guaranteedCores, cards = terms.guaranteedCards)
+        return TeamDemand(team, demand, guaranteed.dominantShare(capacity), terms.weight)
+    }
+
+    /**
+     * Of what a team uses in [zone], how much is above its guarantee: its excess in all partitions falls on each in
+     * proportion to what it uses there, so owners that decide apart do not take more than that together.
+     */
+    fun excessCores(team: String, zone: String): Double {
+        val all = used(team).cores
+        val terms = teams[team]
+        if (all <= 0 || terms == null) return 0.0
+        val here = partitions[zone]?.teams?.get(team)?.used?.cores ?: 0.0
+        return maxOf(0.0, all - terms.guaranteedCores) * here / all
+    }
+
+    /**
+     * How long a further task of [team] would wait in [zone]. With room that is in proportion to the mean, as Saqr
+     * takes the load for the wait. With a queue the team waits for what waits of its own at its share of the cores,
+     * since teams are served in turn by shares, but never longer than for the whole queue.
+     */
+    fun waitS(team: String, zone: String, spec: JobSpec): Double {
+        val partition = partitions.getValue(zone)
+        val runS = partition.meanRunS ?: runS
+        val mean = partition.meanFor(spec)
+        if (mean <= 1.0) return mean * runS
+        val queue = mean - 1.0
+        val own = partition.teams?.let { ownQueue(team, partition, it) } ?: queue
+        return (1.0 + minOf(queue, own)) * runS
+    }
+
+    private fun ownQueue(team: String, partition: PartitionPressure, there: Map<String, TeamPressure>): Double {
+        val contending = there.filter { (_, pressure) -> pressure.waitingCores > 0 }.keys + team
+        val weight = teams[team]?.weight ?: 1.0
+        val share = weight / contending.sumOf { teams[it]?.weight ?: 1.0 }
+        val waiting = there[team]?.waitingCores ?: 0.0
+        return waiting / (maxOf(partition.capacity.cores, 1.0) * share)
+    }
+
+    /** How long tasks run in [zone]. */
+    fun runS(zone: String): Double = partitions[zone]?.meanRunS ?: runS
+
+    private companion object {
+        const val DEFAULT_RUN_S = 15.0
+    }
+}
+
+/** What the settings promise a team. */
+data class TeamTerms(val guaranteedCores: Double, val guaranteedCards: Double, val weight: Double)
--- /dev/null
+++ b/src/main/kotlin/io/otterknot/rebalance/PressureBoard.kt
@@ -0,0 +1,92 @@
+package io.otterknot.rebalance
+
+import io.otterknot.config.TeamFacts
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionView
+import io.otterknot.placement.Resources
+import io.otterknot.state.PressureRecord
+import io.otterknot.state.TeamPressureRecord
+
+/**
+ * Brings together what presses on each partition: of own partitions from their ledgers, which keep it up as things
+ * change; of others from what their owners publish with their means.
+ */
+class PressureBoard(
+    teams: List<TeamFacts>,
+    private val partitions: Map<String, Partition>,
+    private val views: Map<String, PartitionView>,
+) {
+    private val terms: Map<String, TeamTerms> = teams.associate {
+        it.name to TeamTerms(it.cpus, it.gpus, weight = if (it.cpus > 0) it.cpus else 1.0)
+    }
+
+    fun look(): ClusterPressure {
+        val all = views.keys.associateWith { zone -> partitions[zone]?.let(::own) ?: published(views.getValue(zone)) }
+        return ClusterPressure(all, terms)
+    }
+
+    /** What the owner of [partition] publishes with its mean. */
+    fun record(partition: Partition): PressureRecord {
+        val pressure = own(partition)
+        return PressureRecord(
+            teams = pressure.teams.orEmpty().filterValues { it != TeamPressure() }.mapValues { (_, team) ->
+                TeamPressureRecord(
+                    cores = team.used.cores,
+                    memoryGb = team.used.memoryGb,
+                    cards = team.used.cards,
+                    waitingCores = team.waitingCores,
+                    oldestReadyMs = team.oldestReadyMs,
+                )
+            },
+            meanRunS = pressure.meanRunS?.let { Math.round(it * 10) / 10.0 },
+            images = pressure.images.toList(),
+            fetchFactor = Math.round(pressure.fetchFactor * 10) / 10.0,
+        )
+    }
+
+    private fun own(partition: Partition): PartitionPressure {
+        partition.waitingWork.follow(partition.jobs)
+        val load = partition.load
+        val fewest = maxOf(1, (partition.machines.size * COMMON_SHARE).toInt())
+        return PartitionPressure(
+            zone = partition.zone,
+            capacity = load.totalResources,
+            ordinaryCores = load.ordinaryCores,
+            mean = load.mean(),
+            ordinaryMean = load.ordinaryMean(),
+            meanRunS = partition.meanRunMs?.let { it / 1000 },
+            fetchFactor = partition.fetchTimes.factor,
+            images = partition.imageCounts.mostCommon(MOST_IMAGES, fewest).toSet(),
+            teams = partition.teamNames.withIndex().associate { (index, name) -> name to team(partition, index) },
+        )
+    }
+
+    private fun team(partition: Partition, index: Int): TeamPressure {
+        val waiting = partition.waitingWork.ofTeam(index)
+        return TeamPressure(partition.usage(index), waiting.resources.cores, waiting.oldestReadyMs)
+    }
+
+    private fun published(view: PartitionView): PartitionPressure {
+        val record = view.pressure
+        return PartitionPressure(
+            zone = view.zone,
+            capacity = Resources(cores = view.cores),
+            ordinaryCores = view.ordinaryCores,
+            mean = view.mean,
+            ordinaryMean = view.ordinaryMean,
+            meanRunS = record?.meanRunS,
+            fetchFactor = record?.fetchFactor ?: 1.0,
+            images = record?.images.orEmpty().toSet(),
+            teams = record?.teams?.mapValues { (_, team) ->
+                val used = Resources(team.cores, team.memoryGb, team.cards)
+                TeamPressure(used, team.waitingCores, team.oldestReadyMs)
+            },
+        )
+    }
+
+    private companion object {
+        /** An image on this share of the machines is at hand: among two samples one has it more often than not. */
+        const val COMMON_SHARE = 0.3
+        const val MOST_IMAGES = 12
+    }
+}
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -60,6 +60,31 @@
     @SerialName("oc") val ordinaryCores: Double = 0.0,
     /** By team: cores and cards that waiting tasks need beyond the partition's allotment. */
     @SerialName("n") val needs: Map<String, Amount> = emptyMap(),
+    /** What load spread needs to know; null where that is off, or the owner is of a version before it. */
+    @SerialName("l") val pressure: PressureRecord? = null,
+)
+
+/** What presses on a partition: by team what it uses and what waits, and what decides how long work waits there. */
+@Serializable
+data class PressureRecord(
+    @SerialName("t") val teams: Map<String, TeamPressureRecord> = emptyMap(),
+    /** How long tasks run there, in seconds. */
+    @SerialName("r") val meanRunS: Double? = null,
+    /** Images that many of its machines have. */
+    @SerialName("i") val images: List<String> = emptyList(),
+    /** How many times as long a fetch takes there as by the nominal rate. */
+    @SerialName("f") val fetchFactor: Double = 1.0,
+)
+
+/** What one team uses in a partition, and what waits of it there. */
+@Serializable
+data class TeamPressureRecord(
+    @SerialName("c") val cores: Double = 0.0,
+    @SerialName("m") val memoryGb: Double = 0.0,
+    @SerialName("g") val cards: Double = 0.0,
+    @SerialName("w") val waitingCores: Double = 0.0,
+    /** Since when its oldest waiting task could run, by the time of day in milliseconds; null: nothing waits. */
+    @SerialName("o") val oldestReadyMs: Long? = null,
 )
 
 @Serializable
--- a/src/test/kotlin/io/otterknot/Case.kt
+++ b/src/test/kotlin/io/otterknot/Case.kt
@@ -1,5 +1,7 @@
 package io.otterknot
 
+import io.otterknot.config.OperatorSettings
+import io.otterknot.config.TeamFacts
 import io.otterknot.wire.Priority
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.cancelChildren
@@ -24,6 +26,9 @@
     val changesPerS: Double = 300.0,
     /** Whether the usual mixture of jobs arrives; the trouble may bring its own instead. */
     val mixture: Boolean = true,
+    val operators: OperatorSettings = OperatorSettings(),
+    /** The teams, where they are not the usual two. */
+    val teams: List<TeamFacts> = listOf(TeamFacts("red", cpusMax = teamLimit), TeamFacts("blue")),
     val trouble: suspend ClusterStandIn.() -> Unit,
 ) {
     override fun toString() = name
@@ -35,7 +40,16 @@
             coroutineScope {
                 val started = testScheduler.currentTime
                 val cluster =
-                    ClusterStandIn(this, seed, { testScheduler.currentTime }, teamLimit, capacity, changesPerS)
+                    ClusterStandIn(
+                        this,
+                        seed,
+                        { testScheduler.currentTime },
+                        teamLimit,
+                        capacity,
+                        changesPerS,
+                        operators,
+                        teams,
+                    )
                 cluster.zones.forEach { zone -> repeat(2) { cluster.boot(zone, spot = it == 1) } }
                 cluster.nodes.forEach(cluster::startNode)
                 launch { cluster.balance() }
--- a/src/test/kotlin/io/otterknot/ClusterStandIn.kt
+++ b/src/test/kotlin/io/otterknot/ClusterStandIn.kt
@@ -6,6 +6,7 @@
 import io.otterknot.config.Member
 import io.otterknot.config.NextStateFacts
 import io.otterknot.config.Objective
+import io.otterknot.config.OperatorSettings
 import io.otterknot.config.Settings
 import io.otterknot.config.StateFacts
 import io.otterknot.config.TeamFacts
@@ -15,6 +16,8 @@
 import io.otterknot.http.HttpRequest
 import io.otterknot.http.HttpResponse
 import io.otterknot.peer.PeerTransport
+import io.otterknot.rebalance.MoveKind
+import io.otterknot.rebalance.MoveState
 import io.otterknot.state.Keys
 import io.otterknot.state.PartitionRecord
 import io.otterknot.state.decodeRecord
@@ -38,12 +41,15 @@
     capacity: Int = 4,
     /** The changes a second that controllers are told they may make together. */
     private val changesPerS: Double = 300.0,
+    /** What the operators have switched on. */
+    var operators: OperatorSettings = OperatorSettings(),
+    private val teams: List<TeamFacts> = listOf(TeamFacts("red", cpusMax = teamLimit), TeamFacts("blue")),
 ) {
     val random = Random(seed)
     val zones = listOf("a", "b", "c")
     val nodes = zones.map { "holt-$it" }
     val state = StateStandIn(scope, random, nowMs)
-    private val limits = mapOf("red" to teamLimit, "blue" to 0.0)
+    private val limits = teams.associate { it.name to it.cpusMax }
     private val cloud: CloudStandIn =
         CloudStandIn(zones, capacity, nowMs) { id, zone, spot -> WorkerStandIn(this, id, zone, spot) }
     val rules = RuleChecks(nowMs, limits) { cloud.workers }
@@ -109,7 +115,10 @@
         val settings = settings(label)
         val link = if (label in old) ProductionCodec(state.link(label)) else state.link(label)
         val peers = settings.members.associate { it.label to peer(label, it.label) }
-        val controller = Controller(settings, Links(link, link, cloud, peers), Random(random.nextLong()), nowMs, nowMs)
+        val links = Links(link, link, cloud, peers)
+        // A version before load spread knows nothing of the operators' file.
+        val known = { if (label in old) OperatorSettings() else operators }
+        val controller = Controller(settings, links, Random(random.nextLong()), nowMs, nowMs, known)
         running[label] = scope.launch(dispatchers.getValue(label)) {
             controllers[label] = controller
             controller.run()
@@ -120,7 +129,7 @@
         val facts = Facts(
             nodes = 3,
             zones = zones,
-            teams = limits.map { TeamFacts(it.key, cpusMax = it.value) },
+            teams = teams,
             objectives = listOf(Objective("wait", "urgent", 8.0, 0.9)),
             workers = WorkerFacts(0.8, LEASE_S, CANCEL_S),
             state = StateFacts(600.0, changesPerS, 8.0, 40, next),
@@ -160,6 +169,9 @@
 
     fun controller(label: String): Controller = controllers.getValue(label)
 
+    /** How many moves of [kind] have ended in [state], at the controllers that run now. */
+    fun moveEnds(kind: MoveKind, state: MoveState): Int = controllers.values.sumOf { it.moveEnds()[kind to state] ?: 0 }
+
     fun crash(label: String) {
         running.remove(label)?.cancel()
         controllers.remove(label)
@@ -204,10 +216,11 @@
         spot: Boolean = true,
         cores: Double = 2.0,
         zone: String? = null,
+        team: String = if (id % 2 == 0) "red" else "blue",
     ) = JobSpec(
         id = "j-%06d".format(id),
         kind = kind,
-        team = if (id % 2 == 0) "red" else "blue",
+        team = team,
         priority = priority,
         tasks = tasks,
         cores = cores,
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/LoadSpreadMoveTest.kt
@@ -0,0 +1,256 @@
+package io.otterknot
+
+import io.otterknot.config.LoadSpreadMode
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.config.TeamFacts
+import io.otterknot.placement.Aims
+import io.otterknot.placement.Partition
+import io.otterknot.placement.PartitionTimings
+import io.otterknot.placement.PartitionView
+import io.otterknot.placement.ReportDecision
+import io.otterknot.placement.TeamShare
+import io.otterknot.rebalance.LostWorkBudget
+import io.otterknot.rebalance.Move
+import io.otterknot.rebalance.MoveHistory
+import io.otterknot.rebalance.MoveOutcome
+import io.otterknot.rebalance.MoveReason
+import io.otterknot.rebalance.MoveState
+import io.otterknot.rebalance.OpenMove
+import io.otterknot.rebalance.OpenMoves
+import io.otterknot.rebalance.Planner
+import io.otterknot.rebalance.PressureBoard
+import io.otterknot.rebalance.SnapshotBuilder
+import io.otterknot.state.Amount
+import io.otterknot.state.Final
+import io.otterknot.state.Job
+import io.otterknot.state.JobRecord
+import io.otterknot.state.Span
+import io.otterknot.wire.Command
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.Priority
+import io.otterknot.wire.Report
+import io.otterknot.wire.TaskReport
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+
+/** Moves of running tasks, step by step on one owner's ledger. */
+class LoadSpreadMoveTest {
+    private val type = MachineType("big", 8.0, 0.0, 64.0, fetchGbPerS = 1.0)
+    private val teams = listOf(TeamFacts("red", cpus = 8.0), TeamFacts("blue", cpus = 8.0))
+    private val seqs = HashMap<String, Long>()
+    private val partition = newPartition()
+
+    private fun newPartition() = Partition(
+        "a", 7, 0, 0, PartitionTimings(10_000), Random(1), Aims(emptyMap()), { it }, { type },
+        teams.map { TeamShare(it.name, it.cpus, Amount(1e9, 0.0)) }, emptyMap(),
+    )
+
+    private fun job(id: Int, tasks: Int, team: String, priority: Priority = Priority.HIGH, checkpointS: Double = 0.0) =
+        Job("j-%06d".format(id)).also {
+            val spec = smallJob(it.id, tasks).copy(
+                team = team, priority = priority, cores = 4.0, memoryGb = 1.0, image = "i", imageGb = 1.0, spot = true,
+                estimateS = 30.0, checkpointS = checkpointS, saveS = if (checkpointS > 0) 4.0 else 0.0,
+            )
+            it.take(JobRecord(spec, listOf(Span("a", 0, tasks))))
+        }
+
+    private fun Partition.hear(
+        machine: String,
+        now: Long,
+        vararg tasks: TaskReport,
+        noticeS: Double? = null,
+    ): List<Command> {
+        val seq = seqs.merge(machine, 1, Long::plus)!!
+        val report = Report(machine, "", "big", "a", false, 1, seq, token, noticeS, tasks.toList())
+        return (report(report, now) as ReportDecision.Answer).commands
+    }
+
+    private fun Command.shown(state: String = "running", cause: String? = null) =
+        TaskReport(task, attempt, state, cause)
+
+    /** Two machines full of red tasks that run. */
+    private fun fill(checkpointS: Double = 0.0): Map<String, List<Command>> {
+        partition.sweep(1)
+        partition.updateJob(job(1, 4, "red", checkpointS = checkpointS), inherited = false)
+        val machines = listOf("m1", "m2")
+        machines.forEach { partition.hear(it, 2) }
+        partition.registeredNow(machines.toSet())
+        return machines.associateWith { machine ->
+            val starts = partition.hear(machine, 10).filter { it.op == "start" }
+            partition.hear(machine, 1_000, *starts.map { it.shown() }.toTypedArray())
+            starts
+        }
+    }
+
+    /** The move of the first red task on m1. */
+    private fun move(start: Command): OpenMove {
+        val attempt = partition.machine("m1")!!.attempts.get(start.attempt)
+        val move = Move.Stop(
+            "a", "red", "j-000001", MoveReason.GUARANTEE, 5.0, attempt.task, attempt.id, "m1", 4.0, 4.0, "j-000002",
+        )
+        return OpenMove(move, partition, attempt, 2_000).also { it.begin(2_000) }
+    }
+
+    @Test
+    fun `a task is stopped, and work within the guarantee gets its room before more urgent work`() {
+        val (first, second) = fill().getValue("m1")
+        partition.updateJob(job(2, 1, "blue", Priority.BEST_EFFORT), inherited = false)
+        partition.updateJob(job(3, 2, "red", Priority.PRODUCTION), inherited = false)
+        partition.markCovered(1) { it.id == "j-000002" }
+        val move = move(first)
+        assertEquals(MoveState.STOPPING, move.state)
+        val halts = partition.hear("m1", 3_000, first.shown(), second.shown())
+        assertTrue(Command.halt(first.task, first.attempt, 0.0) in halts)
+        val next = partition.hear("m1", 4_000, first.shown("exited", "stopped"), second.shown())
+        assertEquals("j-000002/0", next.single { it.op == "start" }.task)
+        assertTrue(move.advance(4_000, ownsPartition = true))
+        assertEquals(MoveState.STOPPED, move.state)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        // What the next report shows, and what becomes of the move.
+        "exited, done, ABANDONED, COMPLETED_FIRST",
+        "exited, stopped, PLACED,",
+        "running, , STOPPING,",
+        "exited, error, STOPPED,",
+        "gone, , PLACED,",
+    )
+    fun `whatever the machine says of the task decides`(
+        state: String,
+        cause: String?,
+        ends: MoveState,
+        outcome: MoveOutcome?,
+    ) {
+        val (first, second) = fill().getValue("m1")
+        val move = move(first)
+        partition.hear("m1", 3_000, first.shown(), second.shown())
+        val shown = if (state == "gone") emptyArray() else arrayOf(first.shown(state, cause))
+        partition.hear("m1", 4_000, *shown, second.shown())
+        move.advance(4_000, ownsPartition = true)
+        assertEquals(ends, move.state)
+        assertEquals(outcome, move.outcome)
+    }
+
+    @Test
+    fun `a completion that meets the stop wins, also if the machine shows it late`() {
+        val (first, second) = fill().getValue("m1")
+        val move = move(first)
+        partition.hear("m1", 3_000, first.shown(), second.shown())
+        val started = (4L..8L).flatMap {
+            partition.hear("m1", it * 1_000, first.shown("exited", "done"), second.shown())
+        }
+        assertTrue(started.none { it.op == "start" && it.task == first.task }, "it is not started again")
+        move.advance(9_000, ownsPartition = true)
+        assertEquals(MoveOutcome.COMPLETED_FIRST, move.outcome)
+    }
+
+    @Test
+    fun `a cancellation wins over the stop`() {
+        val (first, second) = fill().getValue("m1")
+        val move = move(first)
+        partition.updateJob(job(1, 4, "red").also { it.take(JobRecord(final = Final.CANCELLED)) }, inherited = false)
+        move.advance(2_500, ownsPartition = true)
+        assertEquals(MoveOutcome.JOB_OVER, move.outcome)
+        val commands = partition.hear("m1", 3_000, first.shown(), second.shown())
+        assertEquals(2, commands.count { it.op == "halt" })
+    }
+
+    @Test
+    fun `a stop that is not answered ends with the lease, and the task is placed elsewhere only then`() {
+        val starts = fill()
+        val (first, _) = starts.getValue("m1")
+        val other = starts.getValue("m2")
+        val move = move(first)
+        // m1 hangs; m2 completes its tasks and reports on.
+        var restarted = 0L
+        for (now in 3_000L..16_000L step 1_000) {
+            partition.sweep(now)
+            val shown = other.map { it.shown("exited", "done") }.toTypedArray()
+            val begun = partition.hear("m2", now, *shown).filter { it.op == "start" && it.task == first.task }
+            if (begun.isNotEmpty() && restarted == 0L) restarted = now
+            move.advance(now, ownsPartition = true)
+            if (now < 11_000) assertEquals(MoveState.STOPPING, move.state, "at $now")
+        }
+        assertTrue(restarted > 11_000, "started at $restarted")
+        assertEquals(MoveState.PLACED, move.state)
+        assertEquals(MoveOutcome.MACHINE_LOST, move.outcome)
+    }
+
+    @Test
+    fun `an owner that loses the partition follows nothing`() {
+        val move = move(fill().getValue("m1").first())
+        move.advance(3_000, ownsPartition = false)
+        assertEquals(MoveOutcome.OWNERSHIP_LOST, move.outcome)
+    }
+
+    /** A second stop would end the saving at once, and the progress with it. */
+    @Test
+    fun `a task that saves is not told to stop again, unless it saves for far too long`() {
+        val (first, second) = fill(checkpointS = 5.0).getValue("m1")
+        move(first)
+        fun halts(now: Long, state: String) =
+            partition.hear("m1", now, first.shown(state), second.shown()).filter { it.op == "halt" }.map { it.graceS }
+        assertEquals(listOf(4.0), halts(3_000, "running"))
+        assertEquals(listOf(4.0), halts(4_000, "running"), "the answer before was lost")
+        for (now in 5_000L..17_000L step 1_000) assertEquals(emptyList<Double>(), halts(now, "saving"), "at $now")
+        assertEquals(listOf(0.0), halts(19_000, "saving"))
+    }
+
+    @Test
+    fun `a spot notice does not meet a second stop, and a late report takes nothing back`() {
+        val (first, second) = fill().getValue("m1")
+        val move = move(first)
+        partition.hear("m1", 3_000, first.shown(), second.shown(), noticeS = 5.0)
+        val after = partition.hear("m1", 4_000, first.shown("exited", "stopped"), second.shown(), noticeS = 4.0)
+        move.advance(4_000, ownsPartition = true)
+        assertEquals(MoveState.STOPPED, move.state)
+        assertTrue(after.none { it.op == "start" }, "a machine under a notice takes nothing")
+        val late = Report("m1", "", "big", "a", false, 1, 2, 7, null, listOf(first.shown()))
+        assertEquals(ReportDecision.Stale, partition.report(late, 4_500))
+        assertTrue(!partition.machine("m1")!!.attempts.containsKey(first.attempt))
+    }
+
+    @Test
+    fun `more urgent work that is not within a guarantee does not stop work that is`() {
+        fill()
+        partition.markCovered(1) { it.id == "j-000001" }
+        partition.updateJob(job(4, 1, "blue", Priority.PRODUCTION), inherited = false)
+        for (now in 20_000L..40_000L step 500) partition.sweep(now, slow = true)
+        assertTrue(partition.machines.flatMap { it.attempts.values }.none { it.halting })
+    }
+
+    /** By counting: what a plan costs grows with what waits and is bounded in machines; a report costs the same. */
+    @ParameterizedTest
+    @ValueSource(ints = [500, 1_500, 4_000, 6_000])
+    fun `pressure and plans cost no more for each machine where there are more`(machines: Int) {
+        val partition = newPartition()
+        partition.sweep(1)
+        val names = List(machines) { "m-$it" }
+        names.forEach { partition.hear(it, 2) }
+        partition.registeredNow(names.toSet())
+        partition.updateJob(job(1, machines * 2, "red"), inherited = false)
+        partition.waitingWork.follow(partition.jobs)
+        val starts = names.associateWith { name -> partition.hear(name, 10).filter { it.op == "start" } }
+        partition.updateJob(job(2, 10, "blue"), inherited = false)
+        partition.markCovered(1) { it.id == "j-000002" }
+        val settings = LoadSpreadSettings(LoadSpreadMode.ACT, patienceS = 0.0)
+        val board = PressureBoard(teams, mapOf("a" to partition), mapOf("a" to PartitionView("a")))
+        val builder = SnapshotBuilder(settings, { listOf("a") }, Random(1))
+        val cluster = board.look()
+        val recounts = partition.waitingWork.recounts
+        names.take(50).forEach { partition.hear(it, 1_000, *starts.getValue(it).map { s -> s.shown() }.toTypedArray()) }
+        board.look()
+        assertEquals(0, partition.waitingWork.recounts - recounts, "reports that change nothing are not counted")
+        val snapshot =
+            builder.take(partition, cluster, MoveHistory(), OpenMoves(), LostWorkBudget(0).left, 2_000, 10_000)
+        Planner(settings).plan(snapshot)
+        assertEquals(settings.sampledMachines, snapshot.machines.size)
+        assertTrue(builder.looks <= settings.sampledMachines * 4 + 10, "${builder.looks} looks")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/LoadSpreadPlannerTest.kt
@@ -0,0 +1,398 @@
+package io.otterknot
+
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.config.TeamFacts
+import io.otterknot.placement.Resources
+import io.otterknot.rebalance.ClusterPressure
+import io.otterknot.rebalance.CostWeights
+import io.otterknot.rebalance.FairShares
+import io.otterknot.rebalance.GuaranteeCover
+import io.otterknot.rebalance.ImageCost
+import io.otterknot.rebalance.LocalityCost
+import io.otterknot.rebalance.MachineState
+import io.otterknot.rebalance.Move
+import io.otterknot.rebalance.MoveReason
+import io.otterknot.rebalance.OpenMoves
+import io.otterknot.rebalance.PartitionPressure
+import io.otterknot.rebalance.PlaceCost
+import io.otterknot.rebalance.Plan
+import io.otterknot.rebalance.Planner
+import io.otterknot.rebalance.PlannerSnapshot
+import io.otterknot.rebalance.RefusalReason
+import io.otterknot.rebalance.RunningTask
+import io.otterknot.rebalance.StopCost
+import io.otterknot.rebalance.TeamDemand
+import io.otterknot.rebalance.TeamPressure
+import io.otterknot.rebalance.TeamTerms
+import io.otterknot.rebalance.UnfinishedJob
+import io.otterknot.rebalance.WaitingJob
+import io.otterknot.state.Amount
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.MethodSource
+
+/** What load spread decides, without any controller. */
+class LoadSpreadPlannerTest {
+    @ParameterizedTest
+    @CsvSource(
+        // Demand, guarantee and weight of two teams; what each is due.
+        "1.0, 0.0, 1.0,  1.0, 0.0, 1.0,  0.5, 0.5",
+        "1.0, 0.0, 3.0,  1.0, 0.0, 1.0,  0.75, 0.25",
+        "0.2, 0.0, 1.0,  1.0, 0.0, 1.0,  0.2, 0.8",
+        "1.0, 0.6, 1.0,  1.0, 0.0, 1.0,  0.8, 0.2",
+        "0.1, 0.6, 1.0,  2.0, 0.3, 1.0,  0.1, 0.9",
+        "2.0, 0.9, 1.0,  2.0, 0.9, 1.0,  0.5, 0.5",
+        "0.0, 0.5, 1.0,  0.0, 0.5, 1.0,  0.0, 0.0",
+    )
+    fun `guarantees come first, and the rest goes by weight to those that ask for it`(
+        demand: Double,
+        guaranteed: Double,
+        weight: Double,
+        otherDemand: Double,
+        otherGuaranteed: Double,
+        otherWeight: Double,
+        due: Double,
+        otherDue: Double,
+    ) {
+        val teams = listOf(
+            TeamDemand("one", demand, guaranteed, weight),
+            TeamDemand("other", otherDemand, otherGuaranteed, otherWeight),
+        )
+        val shares = FairShares.of(teams)
+        assertEquals(due, shares.getValue("one"), 1e-6)
+        assertEquals(otherDue, shares.getValue("other"), 1e-6)
+    }
+
+    @Test
+    fun `a job is within the guarantee if it fits together with all earlier ones of its team`() {
+        val cover = GuaranteeCover(listOf(TeamFacts("red", cpus = 10.0), TeamFacts("blue")))
+        fun job(id: String, team: String, at: Long, cores: Double, cards: Double = 0.0) =
+            UnfinishedJob(id, team, at, Amount(cores, cards))
+        val jobs = listOf(
+            job("late", "red", 30, 1.0),
+            job("first", "red", 10, 6.0),
+            job("second", "red", 20, 4.0),
+            job("none", "blue", 5, 1.0),
+        )
+        assertEquals(setOf("first", "second"), cover.covered(jobs))
+        assertEquals(setOf("first"), cover.covered(jobs + job("early", "red", 15, 8.0)))
+        assertEquals(emptySet<String>(), cover.covered(listOf(job("card", "red", 1, 1.0, cards = 1.0))))
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        // Wait here and there; whether the image is at hand there; its size; fetches that share; elapsed, checkpoints,
+        // save; what is gained.
+        "20, 5, true,  6, 1, -1, 0, 0,    13.0",
+        "20, 5, false, 6, 1, -1, 0, 0,    7.0",
+        "20, 5, false, 6, 3, -1, 0, 0,    -5.0",
+        "20, 5, true,  6, 1, 10, 0, 0,    -2.0",
+        "20, 5, true,  6, 1, 10, 5, 2,    10.0",
+        "5, 5, true,   0, 1, -1, 0, 0,    -2.0",
+    )
+    fun `images, queues and lost work are weighed in seconds`(
+        hereS: Double,
+        thereS: Double,
+        atHand: Boolean,
+        imageGb: Double,
+        sharedBy: Int,
+        elapsedS: Double,
+        checkpointS: Double,
+        saveS: Double,
+        gainS: Double,
+    ) {
+        val stop = if (elapsedS < 0) null else StopCost(elapsedS, checkpointS, saveS)
+        val here = PlaceCost(hereS, ImageCost(true, imageGb, 1.0))
+        val there = PlaceCost(thereS, ImageCost(atHand, imageGb, 1.0, sharedBy = sharedBy), moveS = 2.0, stop = stop)
+        assertEquals(gainS, LocalityCost.gain(here, there, CostWeights(fetch = 1.0, lostWork = 1.5)), 1e-6)
+    }
+
+    // ---- plans: a crowded partition a, and b
+
+    class PlanCase(
+        val name: String,
+        val snapshot: PlannerSnapshot,
+        val moves: List<String>,
+        val refused: RefusalReason?,
+    ) {
+        override fun toString() = name
+    }
+
+    @ParameterizedTest
+    @MethodSource("plans")
+    fun `a plan moves what gains enough, and says why it leaves the rest`(case: PlanCase) {
+        val plan = planner.plan(case.snapshot)
+        assertEquals(case.moves, plan.moves.map(::described))
+        if (case.refused != null) assertEquals(case.refused, plan.refusals.first().reason)
+    }
+
+    @ParameterizedTest
+    @CsvSource("0.05, 1000, 5", "0.5, 1000, 10", "0.5, 24, 1", "0.5, 0, 0")
+    fun `stops are bounded by shares of what runs and by the lost work`(share: Double, budget: Double, stops: Int) {
+        val settings = LoadSpreadSettings(partitionStopShare = share, teamStopShare = 0.1, jobStopShare = 1.0)
+        val machines = (1..25).map { machine(it, redTasks(it)) }
+        val waiting = listOf(covered(20))
+        val plan = Planner(settings).plan(snapshot(waiting, machines, lostWorkLeft = budget, running = 100))
+        assertEquals(stops, plan.moves.filterIsInstance<Move.Stop>().size)
+    }
+
+    private fun described(move: Move) = when (move) {
+        is Move.HandOver -> "${move.job} ${Math.round(move.cores)} to ${move.target}: ${move.reason}"
+        is Move.Stop -> "${move.job}/${move.task} on ${move.machine}: ${move.reason}"
+    }
+
+    companion object {
+        private val settings = LoadSpreadSettings(jobStopShare = 1.0, teamStopShare = 1.0, partitionStopShare = 1.0)
+        private val planner = Planner(settings)
+        private val small = smallJob("j-000001").copy(cores = 4.0, image = "i", imageGb = 2.0, spot = true)
+
+        private fun waits(spec: JobSpec = small, arrivedS: Double? = null, waitedS: Double = 5.0, tasks: Int = 80) =
+            WaitingJob(spec, tasks, tasks, false, waitedS, allWaits = true, arrivedS = arrivedS)
+
+        fun covered(tasks: Int, waitedS: Double = 5.0, priority: Priority = Priority.NORMAL) = WaitingJob(
+            small.copy(id = "j-000009", team = "blue", priority = priority),
+            tasks,
+            tasks,
+            true,
+            waitedS,
+            true,
+        )
+
+        private fun red(id: Int, elapsedS: Double = 4.0, remainingS: Double = 10.0, covered: Boolean = false) =
+            RunningTask(
+                small.copy(id = "j-000002", priority = Priority.HIGH),
+                id,
+                id.toLong(),
+                covered,
+                elapsedS,
+                remainingS,
+                isBusyOrKept = false,
+                coolsDown = false,
+            )
+
+        fun redTasks(machine: Int) = List(4) { red(machine * 4 + it) }
+
+        fun machine(id: Int, tasks: List<RunningTask>, draining: Boolean = false, slowness: Double = 1.0) =
+            MachineState(
+                "m-$id", "big", false, Resources(0.0, 64.0, 0.0), 1.0, { false }, tasks, draining, slowness,
+            )
+
+        private fun pressure(
+            zone: String,
+            mean: Double,
+            images: Set<String>,
+            runS: Double = 15.0,
+            red: Double = 400.0,
+            isPublished: Boolean = true,
+        ): PartitionPressure {
+            val teams = mapOf(
+                "red" to TeamPressure(Resources(cores = red), waitingCores = 300.0),
+                "blue" to TeamPressure(Resources(), 80.0),
+            )
+            val cores = Resources(400.0, 3_200.0, 0.0)
+            return PartitionPressure(zone, cores, 400.0, mean, mean, runS, 1.0, images, teams.takeIf { isPublished })
+        }
+
+        fun snapshot(
+            waiting: List<WaitingJob>,
+            machines: List<MachineState> = emptyList(),
+            here: Double = 1.8,
+            there: Double = 0.5,
+            images: Set<String> = setOf("i"),
+            open: OpenMoves = OpenMoves(),
+            lostWorkLeft: Double = 1_000.0,
+            running: Int = 100,
+            targets: List<String> = listOf("a", "b"),
+            redUses: Double = 400.0,
+            runS: Double = 15.0,
+            isPublished: Boolean = true,
+        ): PlannerSnapshot {
+            val partitions = mapOf(
+                "a" to pressure("a", here, setOf("i"), runS, redUses),
+                "b" to pressure("b", there, images, runS, red = 0.0, isPublished),
+            )
+            val terms = mapOf("red" to TeamTerms(100.0, 0.0, 100.0), "blue" to TeamTerms(100.0, 0.0, 100.0))
+            return PlannerSnapshot(
+                "a", ClusterPressure(partitions, terms), waiting, machines, running, mapOf("red" to running),
+                mapOf("j-000002" to running), open, { targets }, lostWorkLeft,
+            )
+        }
+
+        private val slow = 600.0
+
+        @JvmStatic
+        fun plans(): List<PlanCase> {
+            val two = listOf(machine(1, redTasks(1)), machine(2, redTasks(2).map { it.copy(elapsedS = 2.0) }))
+            val stopped = listOf("j-000002/8 on m-2: GUARANTEE")
+            fun on(vararg machines: MachineState) = machines.toList()
+            return listOf(
+                PlanCase(
+                    "a queue here and room there",
+                    snapshot(listOf(waits())),
+                    listOf("j-000001 233 to b: SHORTER_WAIT"),
+                    null,
+                ),
+                PlanCase(
+                    "the image is not there",
+                    snapshot(listOf(waits()), images = emptySet()),
+                    listOf("j-000001 207 to b: SHORTER_WAIT"),
+                    null,
+                ),
+                PlanCase(
+                    "means that differ little",
+                    snapshot(listOf(waits()), here = 0.9, there = 0.7),
+                    emptyList(),
+                    RefusalReason.GAIN_TOO_SMALL,
+                ),
+                PlanCase(
+                    "the same after a long wait",
+                    snapshot(listOf(waits(waitedS = 50.0)), here = 0.9, there = 0.7),
+                    listOf("j-000001 13 to b: OVERDUE"),
+                    null,
+                ),
+                PlanCase(
+                    "bound to its zone",
+                    snapshot(listOf(waits(small.copy(zone = "a")))),
+                    emptyList(),
+                    RefusalReason.BOUND_TO_ZONE,
+                ),
+                PlanCase(
+                    "in one zone, partly placed",
+                    snapshot(listOf(waits(small.copy(oneZone = true)).copy(allWaits = false))),
+                    emptyList(),
+                    RefusalReason.PARTLY_PLACED,
+                ),
+                PlanCase(
+                    "in one zone, as a whole",
+                    snapshot(listOf(waits(small.copy(oneZone = true)))),
+                    listOf("j-000001 320 to b: SHORTER_WAIT"),
+                    null,
+                ),
+                PlanCase(
+                    "in one zone, far too much",
+                    snapshot(listOf(waits(small.copy(oneZone = true), tasks = 300))),
+                    emptyList(),
+                    RefusalReason.GAIN_TOO_SMALL,
+                ),
+                PlanCase(
+                    "just arrived",
+                    snapshot(listOf(waits(arrivedS = 10.0))),
+                    emptyList(),
+                    RefusalReason.JUST_ARRIVED,
+                ),
+                PlanCase(
+                    "arrived a while ago",
+                    snapshot(listOf(waits(arrivedS = 40.0, tasks = 2))),
+                    listOf("j-000001 8 to b: SHORTER_WAIT"),
+                    null,
+                ),
+                PlanCase(
+                    "no owner elsewhere",
+                    snapshot(listOf(waits()), targets = listOf("a")),
+                    emptyList(),
+                    RefusalReason.NO_TARGET,
+                ),
+                PlanCase(
+                    "a handover is under way",
+                    snapshot(listOf(waits()), open = OpenMoves(handOverUnderWay = true)),
+                    emptyList(),
+                    null,
+                ),
+                PlanCase(
+                    "an owner that publishes no pressure",
+                    snapshot(listOf(waits()), isPublished = false),
+                    listOf("j-000001 233 to b: SHORTER_WAIT"),
+                    null,
+                ),
+                PlanCase(
+                    "a guarantee, least work lost",
+                    snapshot(listOf(covered(1)), two, runS = slow, there = 1.8),
+                    stopped,
+                    null,
+                ),
+                PlanCase(
+                    "a guarantee, a stop is under way",
+                    snapshot(
+                        listOf(covered(1)),
+                        two,
+                        runS = slow,
+                        there = 1.8,
+                        open = OpenMoves(stopsForJob = mapOf("j-000009" to 1)),
+                    ),
+                    emptyList(),
+                    null,
+                ),
+                PlanCase(
+                    "a guarantee, no patience yet",
+                    snapshot(listOf(covered(1, waitedS = 1.0)), two, runS = slow, there = 1.8),
+                    emptyList(),
+                    RefusalReason.PATIENCE,
+                ),
+                PlanCase(
+                    "a guarantee, room comes soon",
+                    snapshot(listOf(covered(1)), two, runS = 1.0, there = 1.8),
+                    emptyList(),
+                    RefusalReason.ROOM_COMES_SOON,
+                ),
+                PlanCase(
+                    "a guarantee, nobody is above theirs",
+                    snapshot(listOf(covered(1)), two, runS = slow, there = 1.8, redUses = 100.0),
+                    emptyList(),
+                    RefusalReason.NOTHING_TO_STOP,
+                ),
+                PlanCase(
+                    "a guarantee, all is within others'",
+                    snapshot(
+                        listOf(covered(1)),
+                        on(machine(1, listOf(red(1, covered = true)))),
+                        runS = slow,
+                        there = 1.8,
+                    ),
+                    emptyList(),
+                    RefusalReason.NOTHING_TO_STOP,
+                ),
+                PlanCase(
+                    "a guarantee, all ends soon",
+                    snapshot(
+                        listOf(covered(1)),
+                        on(machine(1, listOf(red(1, remainingS = 2.0)))),
+                        runS = slow,
+                        there = 1.8,
+                    ),
+                    emptyList(),
+                    RefusalReason.NOTHING_TO_STOP,
+                ),
+                PlanCase(
+                    "a guarantee, stopped a while ago",
+                    snapshot(
+                        listOf(covered(1)),
+                        on(machine(1, listOf(red(1).copy(coolsDown = true)))),
+                        runS = slow,
+                        there = 1.8,
+                    ),
+                    emptyList(),
+                    RefusalReason.NOTHING_TO_STOP,
+                ),
+                PlanCase(
+                    "a slow machine is emptied",
+                    snapshot(emptyList(), on(machine(1, listOf(red(1, remainingS = 20.0)), true, 3.0))),
+                    listOf("j-000002/1 on m-1: DRAIN"),
+                    null,
+                ),
+                PlanCase(
+                    "a slow machine, little to gain",
+                    snapshot(emptyList(), on(machine(1, listOf(red(1, elapsedS = 18.0)), true, 2.0))),
+                    emptyList(),
+                    RefusalReason.GAIN_TOO_SMALL,
+                ),
+            )
+        }
+
+        /** For other tests. */
+        fun plan(snapshot: PlannerSnapshot, settings: LoadSpreadSettings): Plan = Planner(settings).plan(snapshot)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/LoadSpreadPropertyTest.kt
@@ -0,0 +1,182 @@
+package io.otterknot
+
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.placement.Resources
+import io.otterknot.rebalance.ClusterPressure
+import io.otterknot.rebalance.FairShares
+import io.otterknot.rebalance.MachineState
+import io.otterknot.rebalance.Move
+import io.otterknot.rebalance.OpenMoves
+import io.otterknot.rebalance.PartitionPressure
+import io.otterknot.rebalance.Planner
+import io.otterknot.rebalance.PlannerSnapshot
+import io.otterknot.rebalance.RunningTask
+import io.otterknot.rebalance.TeamDemand
+import io.otterknot.rebalance.TeamPressure
+import io.otterknot.rebalance.TeamTerms
+import io.otterknot.rebalance.WaitingJob
+import io.otterknot.wire.Priority
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import kotlin.math.ceil
+import kotlin.random.Random
+
+/** Whatever the picture, plans keep to what may be moved. Jqwik draws the pictures and keeps seeds that fail. */
+class LoadSpreadPropertyTest {
+    @Property(tries = 600)
+    fun `plans repeat, and stop only what may be stopped and within every bound`(
+        @ForAll seed: Long,
+        @ForAll @IntRange(min = 0, max = 30) machines: Int,
+        @ForAll @IntRange(min = 0, max = 12) jobs: Int,
+    ) {
+        val settings = LoadSpreadSettings()
+        val snapshot = picture(Random(seed), machines, jobs)
+        val plan = Planner(settings).plan(snapshot)
+        assertEquals(plan.moves, Planner(settings).plan(snapshot).moves, "the same picture, the same plan")
+        val tasks = snapshot.machines.flatMap { it.tasks }.associateBy { it.attempt }
+        val stops = plan.moves.filterIsInstance<Move.Stop>()
+        assertEquals(stops.size, stops.map { it.attempt }.distinct().size, "each task once")
+        for (stop in stops) {
+            val task = tasks.getValue(stop.attempt)
+            assertTrue(!task.isBusyOrKept && !task.coolsDown && task.remainingS >= settings.leastRemainingS)
+            if (stop.beneficiary != null) checkGuaranteeStop(task, stop, snapshot)
+        }
+        checkBounds(stops, snapshot, settings)
+        plan.moves.filterIsInstance<Move.HandOver>().forEach { checkHandOver(it, snapshot) }
+    }
+
+    private fun checkGuaranteeStop(task: RunningTask, stop: Move.Stop, snapshot: PlannerSnapshot) {
+        val beneficiary = snapshot.waiting.single { it.spec.id == stop.beneficiary }
+        assertTrue(beneficiary.covered && beneficiary.team != task.team && !task.covered)
+    }
+
+    private fun checkBounds(stops: List<Move.Stop>, snapshot: PlannerSnapshot, settings: LoadSpreadSettings) {
+        // The two parts of a plan each keep to the bound.
+        for (part in stops.groupBy { it.beneficiary == null }.values) {
+            val most = maxOf(1, ceil(snapshot.runningTasks * settings.partitionStopShare).toInt())
+            assertTrue(part.size <= most, "${part.size} stops of $most")
+            assertTrue(part.sumOf { it.lostCoreS } <= snapshot.lostWorkLeft + 1e-6, "lost work")
+        }
+        for ((team, ofTeam) in stops.filter { it.beneficiary != null }.groupBy { it.team }) {
+            val excess = snapshot.cluster.excessCores(team, snapshot.zone)
+            assertTrue(ofTeam.sumOf { it.cores } <= excess + 1e-6, "no more than the excess")
+        }
+    }
+
+    private fun checkHandOver(move: Move.HandOver, snapshot: PlannerSnapshot) {
+        val job = snapshot.waiting.single { it.spec.id == move.job }
+        assertTrue(move.target != snapshot.zone && job.spec.zone == null && !snapshot.open.handOverUnderWay)
+        assertTrue(move.cores <= job.waitingCores + 1e-6, "no more than waits")
+        if (job.spec.oneZone) assertTrue(job.allWaits && move.cores == job.waitingCores, "as a whole")
+    }
+
+    @Property(tries = 300)
+    fun `shares never pass the whole, nor what a team asks for`(@ForAll seed: Long, @ForAll @IntRange(max = 9) n: Int) {
+        val random = Random(seed)
+        val teams = List(n) {
+            TeamDemand("t$it", random.nextDouble() * 2, random.nextDouble(), 0.1 + random.nextDouble() * 5)
+        }
+        val shares = FairShares.of(teams)
+        assertTrue(shares.values.sum() <= 1.0 + 1e-6)
+        teams.forEach { assertTrue(shares.getValue(it.team) <= it.demand + 1e-6) }
+        // Nothing is left over while somebody asks for more.
+        val isHungry = teams.any { it.demand > shares.getValue(it.team) + 1e-6 }
+        if (isHungry) assertEquals(1.0, shares.values.sum(), 1e-6)
+    }
+
+    private fun picture(random: Random, machineCount: Int, jobCount: Int): PlannerSnapshot {
+        val teams = listOf("red", "blue", "green")
+        val machines = List(machineCount) { machine(random, it, teams) }
+        val running = machines.flatMap { it.tasks }
+        val partitions = listOf("a", "b", "c").associateWith { zone -> partition(random, zone, teams, running) }
+        val terms = teams.associateWith { TeamTerms(random.nextInt(100).toDouble(), 0.0, 1.0) }
+        return PlannerSnapshot(
+            zone = "a",
+            cluster = ClusterPressure(partitions, terms),
+            waiting = List(jobCount) { job(random, it, teams) },
+            machines = machines,
+            runningTasks = running.size,
+            runningByTeam = running.groupingBy { it.team }.eachCount(),
+            runningByJob = running.groupingBy { it.spec.id }.eachCount(),
+            open = OpenMoves(handOverUnderWay = random.nextInt(4) == 0),
+            targets = { partitions.keys.filter { zone -> zone != "c" || random.nextInt(10) >= 0 } },
+            lostWorkLeft = random.nextDouble() * 200,
+        )
+    }
+
+    private fun partition(
+        random: Random,
+        zone: String,
+        teams: List<String>,
+        running: List<RunningTask>,
+    ): PartitionPressure {
+        val pressures = teams.associateWith { team ->
+            val used = if (zone ==
+                "a"
+            ) {
+                running.filter { it.team == team }.sumOf { it.spec.cores }
+            } else {
+                random.nextDouble() * 100
+            }
+            TeamPressure(Resources(cores = used), random.nextDouble() * 200)
+        }
+        val images = setOf("i-0", "i-1").filter { random.nextBoolean() }.toSet()
+        val capacity = Resources(200.0, 2_000.0, 0.0)
+        val mean = random.nextDouble() * 3
+        return PartitionPressure(
+            zone, capacity, 200.0, mean, mean, 5 + random.nextDouble() * 60, 1.0, images,
+            pressures.takeIf { zone == "a" || random.nextInt(4) > 0 },
+        )
+    }
+
+    private fun machine(random: Random, number: Int, teams: List<String>) = MachineState(
+        id = "m-$number",
+        type = "big",
+        spot = random.nextBoolean(),
+        free = Resources(random.nextInt(8).toDouble(), 64.0, 0.0),
+        fetchGbPerS = 1.0,
+        hasImage = { it == "i-0" },
+        tasks = List(random.nextInt(4)) { task(random, number * 10 + it, teams) },
+        draining = random.nextInt(6) == 0,
+        slowness = 1 + random.nextDouble() * 2,
+    )
+
+    private fun task(random: Random, id: Int, teams: List<String>) = RunningTask(
+        spec = spec(random, 100 + random.nextInt(20), teams),
+        task = id,
+        attempt = id.toLong(),
+        covered = random.nextInt(4) == 0,
+        elapsedS = random.nextDouble() * 20,
+        remainingS = random.nextDouble() * 40,
+        isBusyOrKept = random.nextInt(5) == 0,
+        coolsDown = random.nextInt(5) == 0,
+    )
+
+    private fun job(random: Random, number: Int, teams: List<String>): WaitingJob {
+        val tasks = 1 + random.nextInt(100)
+        return WaitingJob(
+            spec(random, number, teams),
+            tasks,
+            random.nextInt(tasks + 1),
+            random.nextBoolean(),
+            random.nextDouble() * 90,
+            random.nextBoolean(),
+            random.nextDouble().takeIf { it < 0.3 }?.let { it * 200 },
+        )
+    }
+
+    private fun spec(random: Random, number: Int, teams: List<String>) = smallJob("j-%06d".format(number)).copy(
+        team = teams.random(random),
+        priority = Priority.entries.random(random),
+        cores = 1.0 + random.nextInt(4),
+        image = "i-${random.nextInt(3)}",
+        imageGb = random.nextDouble() * 5,
+        zone = "a".takeIf { random.nextInt(5) == 0 },
+        oneZone = random.nextInt(5) == 0,
+        spot = random.nextBoolean(),
+        checkpointS = if (random.nextBoolean()) 5.0 else 0.0,
+    )
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/LoopbackSite.kt
@@ -0,0 +1,179 @@
+package io.otterknot
+
+import io.otterknot.config.HostPort
+import io.otterknot.config.TeamFacts
+import io.otterknot.http.HttpResponse
+import io.otterknot.http.HttpServer
+import io.otterknot.http.Reply
+import io.otterknot.http.Transport
+import io.otterknot.net.EventLoop
+import io.otterknot.wire.ListedMachine
+import io.otterknot.wire.MAX_BODY_BYTES
+import io.otterknot.wire.MachineList
+import io.otterknot.wire.MachineType
+import io.otterknot.wire.MachineTypes
+import io.otterknot.wire.WireJson
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import java.io.File
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.random.Random
+
+/** A site on loopback: a state service and a cloud of this process, and controllers that are processes of their own. */
+class LoopbackSite(
+    private val scope: CoroutineScope,
+    private val loop: EventLoop,
+    private val portBase: Int,
+    /** One controller in each zone. */
+    val zones: List<String>,
+    private val machinesPerZone: Int,
+    private val teams: List<TeamFacts>,
+    private val changesPerS: Double = 50.0,
+) {
+    private val startedNs = System.nanoTime()
+    val nowMs = { (System.nanoTime() - startedNs) / 1_000_000 }
+    private val state = StateStandIn(scope, Random(1), nowMs)
+    val labels = zones.indices.map { "holt-$it" }
+
+    /** The names of all machines, with their zones. */
+    val machines: Map<String, String> = zones.flatMapIndexed { index, zone ->
+        List(machinesPerZone) { "m-%06d".format(index * machinesPerZone + it) to zone }
+    }.toMap()
+
+    fun address(label: String) = HostPort("127.0.0.1", portBase + labels.indexOf(label) * PORTS_EACH)
+
+    private fun peerAddress(label: String) = "127.0.0.1:${address(label).port + 1}"
+
+    private val statePort = portBase + STATE_PORT
+    private val cloudPort = portBase + CLOUD_PORT
+
+    suspend fun listen() {
+        listen(statePort, state.link("all"))
+        listen(cloudPort, ::cloud)
+    }
+
+    private suspend fun listen(port: Int, transport: Transport) {
+        val server = HttpServer(loop, 4_000, MAX_BODY_BYTES * 4) { request ->
+            when (val reply = transport.call(request.method, request.path + request.query, request.body, 60_000)) {
+                is Reply.Answer -> HttpResponse(reply.status, reply.body)
+                is Reply.None -> HttpResponse(503, ByteArray(0))
+            }
+        }
+        val listener = server.bind(HostPort("127.0.0.1", port))
+        scope.launch { server.serve(this, listener) }
+    }
+
+    /** All machines are there from the start, and no more are to be had. */
+    private suspend fun cloud(method: String, target: String, body: ByteArray?, timeoutMs: Long): Reply {
+        val text = when {
+            target == "/flavors" -> WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(listOf(TYPE)))
+            target.startsWith("/machines/release") -> "{}"
+            method == "GET" && "After" !in target -> listOfMachines()
+            method == "GET" -> """{"Holts":[],"More":false}"""
+            else -> return Reply.Answer(503, """{"error":"no capacity"}""".encodeToByteArray())
+        }
+        return Reply.Answer(200, text.encodeToByteArray())
+    }
+
+    private fun listOfMachines(): String {
+        val listed = machines.entries.take(LISTED).map { (name, zone) ->
+            ListedMachine(name, null, TYPE.name, zone, false, "running", nowMs() / 1000.0)
+        }
+        return WireJson.encodeToString(MachineList.serializer(), MachineList(listed))
+    }
+
+    /**
+     * Starts a controller as `deploy/service.toml` says, with further [options] of the JVM and, if given, an operators'
+     * file; its log goes to [log], or to this process' own.
+     */
+    fun startController(
+        label: String,
+        options: List<String> = emptyList(),
+        operators: Path? = null,
+        log: File? = null,
+    ): Process {
+        val file = Files.createTempFile("loopback", ".toml")
+        Files.writeString(file, settings(label))
+        val command = Files.readAllLines(Path.of("deploy/service.toml")).first { it.startsWith("run = ") }
+            .substringAfter('"').substringBeforeLast('"').split(' ')
+        val program = command.indexOf("-jar")
+        val jar = command.subList(program, program + 2)
+        val last = listOfNotNull("--operators".takeIf { operators != null }, operators?.toString())
+        val arguments = command.take(program) + options + jar + last + listOf("--config", file.toString())
+        val builder = ProcessBuilder(arguments).inheritIO()
+        if (log != null) builder.redirectError(ProcessBuilder.Redirect.appendTo(log))
+        return builder.start()
+    }
+
+    private fun settings(label: String) = """
+label = "$label"
+domain = "${zones[labels.indexOf(label)]}"
+bind = "127.0.0.1:${address(label).port}"
+peer_listen = "${peerAddress(label)}"
+${labels.filter { it != label }.joinToString("") { member(it) }}
+[endpoints]
+cloud = "127.0.0.1:$cloudPort"
+state = "127.0.0.1:$statePort"
+
+[facts]
+nodes = ${labels.size}
+zones = [${zones.joinToString { "\"$it\"" }}]
+clock_error_ms = 250.0
+${teams.joinToString("") { team(it) }}
+[[facts.objectives]]
+kind = "wait"
+class = "k"
+within_s = 8.0
+share = 0.93
+
+[facts.workers]
+report_s = 0.8
+lease_s = 10.0
+gang_wait_s = 45.0
+gang_peer_s = 4.0
+cancel_s = 35.0
+
+[facts.state]
+rps = ${changesPerS * 3}
+write_rps = $changesPerS
+value_kb = 8.0
+txn_ops = 40
+
+[facts.cloud]
+rps = 3.0
+list_lag_s = 4.0
+
+[facts.machine_limits]
+core_share = 1.0
+mem_mb = 147.0
+fd_limit = 2000
+"""
+
+    private fun member(label: String) = """
+[[members]]
+label = "$label"
+domain = "${zones[labels.indexOf(label)]}"
+endpoint = "${peerAddress(label)}"
+"""
+
+    private fun team(team: TeamFacts) = """
+[[facts.teams]]
+name = "${team.name}"
+cpus = ${team.cpus}
+cpus_max = ${team.cpusMax}
+gpus = 0.0
+gpus_max = 0.0
+"""
+
+    companion object {
+        private const val PORTS_EACH = 2
+        private const val STATE_PORT = 20
+        private const val CLOUD_PORT = 21
+
+        /** A page of the cloud's list. */
+        private const val LISTED = 500
+
+        val TYPE = MachineType("big", 16.0, 0.0, 128.0, 20.0, 1.0, 1.0, 0.4, 3.0, listOf("a", "b", "c"))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/MoveReportTest.kt
@@ -0,0 +1,57 @@
+package io.otterknot
+
+import io.otterknot.rebalance.MoveEvent
+import io.otterknot.rebalance.MoveJournal
+import io.otterknot.rebalance.MoveKind
+import io.otterknot.rebalance.MoveOutcome
+import io.otterknot.rebalance.MoveReason
+import io.otterknot.rebalance.MoveReport
+import io.otterknot.rebalance.MoveState
+import io.otterknot.rebalance.PauseReason
+import io.otterknot.rebalance.RefusalReason
+import io.otterknot.rebalance.WaitCause
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** What `otterknot moves` makes of controllers' logs. */
+class MoveReportTest {
+    private fun line(event: MoveEvent) = "INFO MoveJournal - ${MoveJournal.MARK}${MoveJournal.encode(event)}"
+
+    @Test
+    fun `events are added up by team, and lines of others or of newer versions are passed over`() {
+        val handover = MoveEvent.Ended(
+            "a", "red", "j-000001", MoveKind.HANDOVER, MoveState.PLACED, MoveReason.SHORTER_WAIT, 4.0, 7, "b",
+        )
+        val stop = MoveEvent.Ended(
+            "a", "red", "j-000002", MoveKind.STOP, MoveState.ABANDONED, MoveReason.GUARANTEE, 9.0, 1,
+            beneficiary = "j-000003", lostCoreS = 12.5, outcome = MoveOutcome.COMPLETED_FIRST,
+        )
+        val summary = MoveEvent.Summary(
+            "a",
+            30.0,
+            mapOf("blue" to mapOf(RefusalReason.PATIENCE to 3)),
+            mapOf(PauseReason.OUTAGE to 2),
+            mapOf("blue" to mapOf(WaitCause.OTHER_TEAMS to 41.6)),
+        )
+        val unknown = "INFO MoveJournal - load-spread {\"type\":\"later\"}"
+        val lines = listOf(
+            "INFO Ownership - owner of a",
+            line(handover),
+            line(handover),
+            line(stop),
+            line(summary),
+            unknown,
+        )
+        val expected = listOf(
+            "team blue",
+            "  left where it was 3 times: has not waited long enough",
+            "  waited 42 task-seconds: other teams above their share",
+            "team red",
+            "  2 times a handover for shorter wait: placed, 14 tasks",
+            "  1 times a stop for guarantee: abandoned (the task completed first), 1 tasks, 13 core-seconds lost",
+            "no plan was made 2 times: the state service does not answer",
+            "1 lines could not be read; are they of a newer version?",
+        )
+        assertEquals(expected, MoveReport.text(MoveReport.of(lines.asSequence())))
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/OperatorSettingsTest.kt
@@ -0,0 +1,74 @@
+package io.otterknot
+
+import io.otterknot.config.BadSettings
+import io.otterknot.config.LoadSpreadMode
+import io.otterknot.config.LoadSpreadSettings
+import io.otterknot.config.OperatorSettings
+import io.otterknot.config.OperatorSettingsFile
+import io.otterknot.config.OperatorSettingsFollower
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The operators' own file. */
+class OperatorSettingsTest {
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        value = [
+            "(load-spread :mode on)| load-spread: :mode is on, not one of off, observe, act",
+            "(load-spread :mode \"act\")| load-spread: :mode is act, not one of off, observe, act",
+            "(load-spread :colour 1)| load-spread: unknown setting :colour",
+            "(load-shed :mode act)| unknown section load-shed",
+            "(load-spread :margin-s -1)| load-spread: :margin-s is -1, not a number from 0.0 to 3600.0",
+            "(load-spread :margin-s true)| load-spread: :margin-s is true, not a number from 0.0 to 3600.0",
+            "(load-spread :hand-overs-per-plan 2.5)| load-spread: :hand-overs-per-plan is 2.5, not a whole number",
+            "(load-spread :drains 1)| load-spread: :drains is 1, not true or false",
+            "(load-spread :mode)| load-spread: :mode has no value",
+            "(load-spread :mode off :mode act)| load-spread: :mode stands twice",
+            "(load-spread mode act)| load-spread: mode is not a setting",
+            "(load-spread) (load-spread)| section load-spread stands twice",
+            "load-spread| not a section in parentheses",
+            "()| a section without a name",
+            "(load-spread :mode act| not S-expressions",
+        ],
+    )
+    fun `what is bad or unknown is refused in one line`(text: String, message: String) {
+        val refusal = assertThrows(BadSettings::class.java) { OperatorSettingsFile.parse(text) }
+        assertEquals(message, refusal.message.orEmpty().take(message.length))
+        assertFalse('\n' in refusal.message.orEmpty())
+    }
+
+    @Test
+    fun `what is named is taken, the rest has its default, and comments are passed over`() {
+        val text = "; a comment\n(load-spread :mode act :margin-s 5 :hand-overs false :sampled-machines 7)"
+        val expected =
+            LoadSpreadSettings(LoadSpreadMode.ACT, marginS = 5.0, handOvers = false, sampledMachines = 7)
+        assertEquals(OperatorSettings(expected), OperatorSettingsFile.parse(text))
+        assertEquals(OperatorSettings(), OperatorSettingsFile.parse(""))
+    }
+
+    @Test
+    fun `the file is followed, one that is bad or gone included`(@TempDir directory: Path) {
+        val file = directory.resolve("operators.sexp")
+        val follower = OperatorSettingsFollower(file, OperatorSettingsFile.read(file))
+        assertFalse(follower.current.loadSpread.isOn, "no file: all is off")
+        val steps = listOf(
+            "(load-spread :mode act)" to LoadSpreadMode.ACT,
+            "(load-spread :mode wrong)" to LoadSpreadMode.ACT,
+            "(load-spread :mode observe)" to LoadSpreadMode.OBSERVE,
+            null to LoadSpreadMode.OFF,
+        )
+        for ((text, mode) in steps) {
+            if (text == null) Files.delete(file) else Files.writeString(file, text)
+            follower.look()
+            assertEquals(mode, follower.current.loadSpread.mode, "$text")
+        }
+    }
+}
--- a/src/test/kotlin/io/otterknot/ProductionCodec.kt
+++ b/src/test/kotlin/io/otterknot/ProductionCodec.kt
@@ -63,6 +63,8 @@
 
             key.startsWith("o/d/") -> JsonObject(value.jsonObject - "f")
 
+            key.startsWith("o/s/") -> JsonObject(value.jsonObject - "l")
+
             else -> value
         }
     }
--- a/src/test/kotlin/io/otterknot/RuleChecks.kt
+++ b/src/test/kotlin/io/otterknot/RuleChecks.kt
@@ -50,6 +50,15 @@
     private val began = HashSet<String>()
     private val answeredAt = HashMap<String, Long>()
 
+    /** When each task first had its image and ran, by name. */
+    private val startedAt = HashMap<String, Long>()
+
+    /** How long each task of [team] that has begun had waited since its job was accepted. */
+    fun waitsMs(team: String): List<Long> = startedAt.mapNotNull { (name, at) ->
+        val job = name.substringBefore('/')
+        acceptedAt[job]?.takeIf { spec(job).team == team }?.let { at - it }
+    }
+
     /** Since when each job waits although a machine that fits has room and its team is under its limit. */
     private val roomySince = HashMap<String, Long>()
 
@@ -148,6 +157,7 @@
     /** Task [name] starts on [worker]. */
     fun starting(worker: WorkerStandIn, name: String, spec: JobSpec) {
         starts++
+        startedAt.putIfAbsent(name, nowMs())
         checkTimes(name, spec)
         checkPlace(worker, name, spec)
         val limit = limits.getValue(spec.team)
