Load spread: a guarantee goes to its team's most urgent work; stops where tasks run for long

And a new case, tasks of 150 s, showed that a quiet team got nothing: the mean run time that said "room comes by itself" is not known while none has completed, and the lost-work budget of a small partition never paid for one task.

--- a/src/main/kotlin/io/otterknot/config/LoadSpreadSettings.kt
+++ b/src/main/kotlin/io/otterknot/config/LoadSpreadSettings.kt
@@ -48,7 +48,7 @@
     /** The same of one job's tasks there. */
     val jobStopShare: Double = 0.25,
     /** Of a partition's core-seconds, how many may be thrown away by stops. */
-    val lostWorkShare: Double = 0.01,
+    val lostWorkShare: Double = 0.05,
     /** How many waiting jobs a plan looks at. */
     val examinedJobs: Int = 64,
     /** How many machines a plan looks at for tasks to stop. */
--- a/src/main/kotlin/io/otterknot/rebalance/GuaranteeCover.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/GuaranteeCover.kt
@@ -3,9 +3,16 @@
 import io.otterknot.config.TeamFacts
 import io.otterknot.state.Amount
 import io.otterknot.state.Job
+import io.otterknot.wire.Priority
 
 /** What one team's unfinished job takes of its guarantee. */
-data class UnfinishedJob(val id: String, val team: String, val submittedMs: Long, val amount: Amount) {
+data class UnfinishedJob(
+    val id: String,
+    val team: String,
+    val priority: Priority,
+    val submittedMs: Long,
+    val amount: Amount,
+) {
     companion object {
         /** Null: the job is over, waits for others, or is not known well enough; it takes nothing. */
         fun of(job: Job): UnfinishedJob? {
@@ -13,14 +20,16 @@
             if (job.outcome != null || !job.ready) return null
             val tasks = spec.tasks - job.done.cardinality()
             val amount = Amount(tasks * spec.cores, tasks * spec.cards)
-            return UnfinishedJob(job.id, spec.team, job.record?.submittedMs ?: 0, amount)
+            val priority = minOf(spec.priority, job.dependencies.inheritedPriority ?: spec.priority)
+            return UnfinishedJob(job.id, spec.team, priority, job.record?.submittedMs ?: 0, amount)
         }
     }
 }
 
 /**
- * Which jobs are within their team's guarantee: those that fit into it together with all of the team's earlier jobs
- * that are not finished. Every controller that has read as much of the state finds the same.
+ * Which jobs are within their team's guarantee: those that fit into it together with all of the team's unfinished jobs
+ * that are more urgent, or as urgent and earlier. A guarantee holds against other teams; within a team its own
+ * priorities decide what it is used for. Every controller that has read as much of the state finds the same.
  */
 class GuaranteeCover(teams: List<TeamFacts>) {
     private val guarantees = teams.filter { it.cpus > 0 || it.gpus > 0 }.associateBy { it.name }
@@ -33,7 +42,7 @@
         val covered = HashSet<String>()
         for ((team, ofTeam) in jobs.groupBy { it.team }) {
             val guarantee = guarantees[team] ?: continue
-            val inOrder = ofTeam.sortedWith(compareBy<UnfinishedJob> { it.submittedMs }.thenBy { it.id })
+            val inOrder = ofTeam.sortedWith(ORDER)
             var taken = Amount()
             for (job in inOrder) {
                 taken += job.amount
@@ -49,5 +58,6 @@
 
     private companion object {
         const val EPS = 1e-6
+        val ORDER = compareBy<UnfinishedJob> { it.priority }.thenBy { it.submittedMs }.thenBy { it.id }
     }
 }
--- a/src/main/kotlin/io/otterknot/rebalance/GuaranteePlanner.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/GuaranteePlanner.kt
@@ -17,11 +17,12 @@
         val refusals = ArrayList<Refusal>()
         val limits = StopLimits(settings, snapshot)
         val rooms = snapshot.machines.filterNot { it.draining }.map(::MachineRoom)
+        val coresFreeSoon = coresFreeSoon(snapshot)
         var coresAhead = 0.0
         for (job in snapshot.waiting) {
             if (!job.covered || job.startable <= 0) continue
             coresAhead += job.startable * job.spec.cores
-            val refused = hindrance(job, coresAhead, snapshot)
+            val refused = hindrance(job, coresAhead <= coresFreeSoon)
             if (refused != null) {
                 refusals.add(Refusal(job.team, job.spec.id, refused))
                 continue
@@ -36,17 +37,20 @@
         return Plan(moves, refusals)
     }
 
-    /** [coresAhead]: what waits within guarantees up to this job. */
-    private fun hindrance(job: WaitingJob, coresAhead: Double, snapshot: PlannerSnapshot): RefusalReason? {
-        if (job.waitedS < settings.patienceS) return RefusalReason.PATIENCE
-        val partition = snapshot.cluster.partitions.getValue(snapshot.zone)
-        val busyCores = partition.teams.orEmpty().values.sumOf { it.used.cores }
-        // So many cores come free a second by themselves, and go to work within a guarantee first.
-        val turnover = busyCores / snapshot.cluster.runS(snapshot.zone)
-        val comesSoon = turnover > 0 && coresAhead / turnover < settings.marginS
-        return if (comesSoon) RefusalReason.ROOM_COMES_SOON else null
+    /** [comesSoon]: room for all that waits within guarantees up to this job comes free by itself. */
+    private fun hindrance(job: WaitingJob, comesSoon: Boolean): RefusalReason? = when {
+        job.waitedS < settings.patienceS -> RefusalReason.PATIENCE
+        comesSoon -> RefusalReason.ROOM_COMES_SOON
+        else -> null
     }
 
+    /** How many cores come free in the partition within the margin, by the sample: work within a guarantee is first. */
+    private fun coresFreeSoon(snapshot: PlannerSnapshot): Double = snapshot.machines
+        .filterNot { it.draining }
+        .flatMap { it.tasks }
+        .filter { it.remainingS <= settings.marginS }
+        .sumOf { it.spec.cores } / snapshot.sampledShare
+
     /** Chooses where one task of [job] gets room; the reason if nowhere. */
     private fun makeRoom(
         job: WaitingJob,
--- a/src/main/kotlin/io/otterknot/rebalance/PlannerSnapshot.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/PlannerSnapshot.kt
@@ -1,5 +1,6 @@
 package io.otterknot.rebalance
 
+import io.otterknot.placement.Resources
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.Priority
 
@@ -46,7 +47,7 @@
     val id: String,
     val type: String,
     val spot: Boolean,
-    val free: io.otterknot.placement.Resources,
+    val free: Resources,
     val fetchGbPerS: Double,
     val hasImage: (String) -> Boolean,
     val tasks: List<RunningTask>,
@@ -77,6 +78,8 @@
     val waiting: List<WaitingJob>,
     /** Machines that were looked at; all of those that are being emptied, and a sample of the others. */
     val machines: List<MachineState>,
+    /** Of the machines in use, the share that was drawn. */
+    val sampledShare: Double,
     val runningTasks: Int,
     val runningByTeam: Map<String, Int>,
     val runningByJob: Map<String, Int>,
--- a/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
@@ -44,6 +44,7 @@
             cluster = cluster,
             waiting = waiting,
             machines = machines,
+            sampledShare = minOf(1.0, settings.sampledMachines.toDouble() / maxOf(1, partition.machines.size)),
             runningTasks = running.values.sum(),
             runningByTeam = byTeam(partition, running),
             runningByJob = running,
--- a/src/test/kotlin/io/otterknot/LoadSpreadClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/LoadSpreadClusterTest.kt
@@ -85,6 +85,16 @@
                     delay(3_000)
                 }
             },
+            surgeCase("tasks that run for long are stopped, so that a quiet team gets its guarantee", seeds = 2) {
+                surge("red", count = 120, runS = 150.0)
+                delay(40_000)
+                repeat(4) {
+                    user(spec(900 + it, 1, 3.0, priority = Priority.NORMAL, team = "blue"))
+                    delay(6_000)
+                }
+                val waits = rules.waitsMs("blue")
+                if (waits.size < 4 || waits.max() > 25_000) broken.add("the quiet team waited for $waits ms")
+            },
             surgeCase("two teams surge by turns: moves are bounded", seeds = 2) {
                 for (turn in 0 until 6) {
                     surge(if (turn % 2 == 0) "red" else "blue", count = 40, firstId = 1_000 + turn * 100)
--- a/src/test/kotlin/io/otterknot/LoadSpreadPropertyTest.kt
+++ b/src/test/kotlin/io/otterknot/LoadSpreadPropertyTest.kt
@@ -98,6 +98,7 @@
             cluster = ClusterPressure(partitions, terms),
             waiting = List(jobCount) { job(random, it, teams) },
             machines = machines,
+            sampledShare = 0.1 + random.nextDouble() * 0.9,
             runningTasks = running.size,
             runningByTeam = running.groupingBy { it.team }.eachCount(),
             runningByJob = running.groupingBy { it.spec.id }.eachCount(),
