Load spread: work within a guarantee goes before more urgent work only if the operators say so

Change: `:any-priority`, off by default, decides the order as well as the stops; else work within a guarantee goes first among what is as urgent.

--- a/src/main/kotlin/io/otterknot/config/LoadSpreadSettings.kt
+++ b/src/main/kotlin/io/otterknot/config/LoadSpreadSettings.kt
@@ -21,8 +21,11 @@
     val guarantees: Boolean = true,
     /** Whether tasks on machines that are being emptied are stopped where they end sooner elsewhere. */
     val drains: Boolean = true,
-    /** Whether work of a higher priority may be stopped so that a team gets its guarantee. */
-    val anyPriority: Boolean = true,
+    /**
+     * Whether work within a guarantee goes before more urgent work of teams above theirs, and such work may be stopped
+     * for it; else only before work, and for work, that is no more urgent.
+     */
+    val anyPriority: Boolean = false,
     val planEveryS: Double = 1.0,
     /** What a move has to gain at the least. */
     val marginS: Double = 3.0,
--- a/src/main/kotlin/io/otterknot/placement/Partition.kt
+++ b/src/main/kotlin/io/otterknot/placement/Partition.kt
@@ -428,11 +428,12 @@
     fun stopForMove(attempt: Attempt) = attempts.stop(attempt)
 
     /**
-     * Says which jobs are within their team's guarantee: they are placed before others, and are not stopped for work
-     * that is not.
+     * Says which jobs are within their team's guarantee: they are placed before others, whatever their priority if
+     * [beforeAll], and are not stopped for work that is not.
      */
-    fun markCovered(now: Long, isCovered: (PartitionJob) -> Boolean) {
-        var changed = false
+    fun markCovered(now: Long, beforeAll: Boolean, isCovered: (PartitionJob) -> Boolean) {
+        var changed = scheduler.order.coveredBeforeAll != beforeAll
+        scheduler.order.coveredBeforeAll = beforeAll
         for (job in jobList) {
             if (job.markCovered(isCovered(job), now)) changed = true
         }
--- a/src/main/kotlin/io/otterknot/placement/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/placement/Scheduler.kt
@@ -121,11 +121,14 @@
             ledger.book(job, machine, now).kept = true
         }
         // Work within a team's guarantee need not wait for other teams.
-        for (priority in Priority.entries) serve(order.coveredQueues(priority), open, only, now)
+        if (order.coveredBeforeAll) {
+            for (priority in Priority.entries) serve(order.coveredQueues(priority), open, only, now)
+        }
         val makingRoom = only == null && now - roomMs >= ROOM_MS
         if (makingRoom) roomMs = now
         for (priority in Priority.entries) {
             val queues = order.queues(priority)
+            serve(order.coveredQueues(priority), open, only, now)
             serve(queues, open, only, now)
             if (makingRoom && priority < Priority.BEST_EFFORT) {
                 val waiting = queues.flatMap { queue ->
--- a/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
+++ b/src/main/kotlin/io/otterknot/placement/WaitOrder.kt
@@ -46,6 +46,9 @@
      */
     val overdue = ArrayList<PartitionJob>()
 
+    /** Work within a team's guarantee goes before all other work; else only before what is as urgent. */
+    var coveredBeforeAll = false
+
     /** The most urgent priority of the jobs that wait and are not within their team's guarantee; null: all are. */
     private var mostUrgentUncovered: Priority? = null
 
@@ -54,7 +57,7 @@
      * and some of that work is not.
      */
     fun ignoresHeldRoom(job: PartitionJob): Boolean =
-        job.covered && mostUrgentUncovered?.let { it < job.spec.priority } ?: false
+        coveredBeforeAll && job.covered && mostUrgentUncovered?.let { it < job.spec.priority } ?: false
 
     val empty: Boolean get() = leastCores == Double.MAX_VALUE
 
--- a/src/main/kotlin/io/otterknot/rebalance/LoadSpread.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/LoadSpread.kt
@@ -90,7 +90,7 @@
         for (desk in desks.values) desk.close(nowMs())
         desks.clear()
         for (partition in host.partitions.values) {
-            partition.markCovered(nowMs()) { false }
+            partition.markCovered(nowMs(), beforeAll = false) { false }
             if (!wanted.isOn) partition.waitingWork.unfollow()
         }
     }
@@ -131,7 +131,9 @@
         if (!isUsed || now - coveredMs < COVER_MS) return
         coveredMs = now
         val covered = cover.covered(host.liveJobs.mapNotNull(UnfinishedJob::of))
-        for (partition in host.partitions.values) partition.markCovered(now) { it.id in covered }
+        for (partition in host.partitions.values) {
+            partition.markCovered(now, active.anyPriority) { it.id in covered }
+        }
     }
 
     private fun pause(partition: Partition, now: Long): PauseReason? = when {
--- a/src/test/kotlin/io/otterknot/LoadSpreadClusterTest.kt
+++ b/src/test/kotlin/io/otterknot/LoadSpreadClusterTest.kt
@@ -47,7 +47,7 @@
     private fun percentile(values: List<Long>, share: Double) = values.sorted()[((values.size - 1) * share).toInt()]
 
     companion object {
-        private val ACTING = OperatorSettings(LoadSpreadSettings(LoadSpreadMode.ACT))
+        private val ACTING = OperatorSettings(LoadSpreadSettings(LoadSpreadMode.ACT, anyPriority = true))
         private val TEAMS = listOf(TeamFacts("red", cpus = 24.0), TeamFacts("blue", cpus = 24.0))
 
         private fun surgeCase(
--- a/src/test/kotlin/io/otterknot/LoadSpreadPlannerTest.kt
+++ b/src/test/kotlin/io/otterknot/LoadSpreadPlannerTest.kt
@@ -141,7 +141,8 @@
     @ParameterizedTest
     @CsvSource("0.05, 1000, 5", "0.5, 1000, 10", "0.5, 24, 1", "0.5, 0, 0")
     fun `stops are bounded by shares of what runs and by the lost work`(share: Double, budget: Double, stops: Int) {
-        val settings = LoadSpreadSettings(partitionStopShare = share, teamStopShare = 0.1, jobStopShare = 1.0)
+        val settings =
+            LoadSpreadSettings(anyPriority = true, partitionStopShare = share, teamStopShare = 0.1, jobStopShare = 1.0)
         val machines = (1..25).map { machine(it, redTasks(it)) }
         val waiting = listOf(covered(20))
         val plan = Planner(settings).plan(snapshot(waiting, machines, lostWorkLeft = budget, running = 100))
@@ -154,7 +155,8 @@
     }
 
     companion object {
-        private val settings = LoadSpreadSettings(jobStopShare = 1.0, teamStopShare = 1.0, partitionStopShare = 1.0)
+        private val settings =
+            LoadSpreadSettings(anyPriority = true, jobStopShare = 1.0, teamStopShare = 1.0, partitionStopShare = 1.0)
         private val planner = Planner(settings)
         private val small = smallJob("j-000001").copy(cores = 4.0, image = "i", imageGb = 2.0, spot = true)
 
