--- a/src/main/kotlin/io/otterknot/rebalance/DrainPlanner.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/DrainPlanner.kt
@@ -6,13 +6,12 @@
  * Decides which tasks on machines that are being emptied are stopped, since they end sooner elsewhere: slow machines
  * above all. PROTOCOL allows a task to be stopped in order to drain its machine.
  */
-class DrainPlanner(private val settings: LoadSpreadSettings) {
+internal class DrainPlanner(private val settings: LoadSpreadSettings) {
     private val weights = CostWeights(settings.fetchWeight, settings.lostWorkWeight)
 
-    fun plan(snapshot: PlannerSnapshot): Plan {
+    fun plan(snapshot: PlannerSnapshot, limits: StopLimits): Plan {
         val moves = ArrayList<Move>()
         val refusals = ArrayList<Refusal>()
-        val limits = StopLimits(settings, snapshot)
         for (machine in snapshot.machines) {
             if (!machine.draining) continue
             for (task in machine.tasks) {
--- a/src/main/kotlin/io/otterknot/rebalance/GuaranteePlanner.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/GuaranteePlanner.kt
@@ -9,13 +9,12 @@
  * guarantee is placed before all other, so room that comes by itself goes to it; a task is stopped only where that
  * would take too long.
  */
-class GuaranteePlanner(private val settings: LoadSpreadSettings) {
+internal class GuaranteePlanner(private val settings: LoadSpreadSettings) {
     private val weights = CostWeights(settings.fetchWeight, settings.lostWorkWeight)
 
-    fun plan(snapshot: PlannerSnapshot): Plan {
+    fun plan(snapshot: PlannerSnapshot, limits: StopLimits): Plan {
         val moves = ArrayList<Move>()
         val refusals = ArrayList<Refusal>()
-        val limits = StopLimits(settings, snapshot)
         val rooms = snapshot.machines.filterNot { it.draining }.map(::MachineRoom)
         val coresFreeSoon = coresFreeSoon(snapshot)
         var coresAhead = 0.0
--- a/src/main/kotlin/io/otterknot/rebalance/LoadSpread.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/LoadSpread.kt
@@ -104,7 +104,7 @@
         for (desk in desks.values) {
             val paused = pause(desk.partition, now)
             val handOvers = desk.turn(cluster, paused, now, wallMs())
-            if (handOvers.isNotEmpty()) scope.launch { handOvers.forEach { desk.mover.handOver(it) } }
+            if (handOvers.isNotEmpty()) scope.launch { desk.mover.handOver(handOvers) }
         }
     }
 
--- a/src/main/kotlin/io/otterknot/rebalance/Mover.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/Mover.kt
@@ -18,9 +18,8 @@
 ) {
     private val open = ArrayList<OpenMove>()
 
-    /** A transaction of a handover is under way. */
-    var isHandingOver = false
-        private set
+    /** Handovers are under way. */
+    private var isHandingOver = false
 
     fun openMoves(): OpenMoves {
         val stopping = open.filter { it.state == MoveState.STOPPING }
@@ -61,8 +60,18 @@
         open.removeIf { it.state.isFinal }
     }
 
-    /** Hands waiting tasks over; returns once it is known what became of them. */
-    suspend fun handOver(move: Move.HandOver) {
+    /** Hands waiting tasks over, one move after the other; returns once it is known what became of them. */
+    suspend fun handOver(moves: List<Move.HandOver>) {
+        if (moves.isEmpty() || isHandingOver) return
+        isHandingOver = true
+        try {
+            moves.forEach { handOver(it) }
+        } finally {
+            isHandingOver = false
+        }
+    }
+
+    private suspend fun handOver(move: Move.HandOver) {
         val job = partition.job(move.job)
         if (job == null || job.over || !ownsPartition()) {
             journal.ended(move, MoveState.ABANDONED, MoveOutcome.TASK_GONE)
@@ -74,19 +83,10 @@
             return
         }
         journal.proposed(move)
-        isHandingOver = true
-        try {
-            when (transfer.transfer(partition, job, tasks, move.target)) {
-                TaskTransfer.Outcome.MOVED -> journal.ended(move, MoveState.PLACED, null, tasks.cardinality())
-
-                TaskTransfer.Outcome.STAYED ->
-                    journal.ended(move, MoveState.ABANDONED, MoveOutcome.NOT_TRANSFERRED)
-
-                TaskTransfer.Outcome.PARTITION_LOST ->
-                    journal.ended(move, MoveState.ABANDONED, MoveOutcome.OWNERSHIP_LOST)
-            }
-        } finally {
-            isHandingOver = false
+        when (transfer.transfer(partition, job, tasks, move.target)) {
+            TaskTransfer.Outcome.MOVED -> journal.ended(move, MoveState.PLACED, null, tasks.cardinality())
+            TaskTransfer.Outcome.STAYED -> journal.ended(move, MoveState.ABANDONED, MoveOutcome.NOT_TRANSFERRED)
+            TaskTransfer.Outcome.PARTITION_LOST -> journal.ended(move, MoveState.ABANDONED, MoveOutcome.OWNERSHIP_LOST)
         }
     }
 
--- a/src/main/kotlin/io/otterknot/rebalance/Planner.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/Planner.kt
@@ -13,8 +13,9 @@
 
     fun plan(snapshot: PlannerSnapshot): Plan {
         val parts = ArrayList<Plan>()
-        if (settings.drains) parts.add(drains.plan(snapshot))
-        if (settings.guarantees) parts.add(guarantees.plan(snapshot))
+        val limits = StopLimits(settings, snapshot)
+        if (settings.drains) parts.add(drains.plan(snapshot, limits))
+        if (settings.guarantees) parts.add(guarantees.plan(snapshot, limits))
         if (settings.handOvers) parts.add(handOvers.plan(snapshot))
         return Plan(withoutRepeats(parts.flatMap { it.moves }), parts.flatMap { it.refusals })
     }
--- a/src/main/kotlin/io/otterknot/rebalance/Pressure.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/Pressure.kt
@@ -37,7 +37,12 @@
 class ClusterPressure(val partitions: Map<String, PartitionPressure>, private val teams: Map<String, TeamTerms>) {
     private val runS = partitions.values.mapNotNull { it.meanRunS }.ifEmpty { null }?.average() ?: DEFAULT_RUN_S
 
-    private val capacity: Resources = partitions.values.fold(Resources.NONE) { sum, it -> sum + it.capacity }
+    /** Cores alone where some owner does not publish what else its machines have. */
+    private val capacity: Resources = partitions.values.fold(Resources.NONE) { sum, it ->
+        sum + it.capacity
+    }.let { sum ->
+        if (partitions.values.all { it.teams != null }) sum else Resources(cores = sum.cores)
+    }
 
     private val used: Map<String, Resources> = teams.keys.associateWith { team ->
         partitions.values.fold(Resources.NONE) { sum, partition ->
--- a/src/main/kotlin/io/otterknot/rebalance/PressureBoard.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/PressureBoard.kt
@@ -38,6 +38,8 @@
                     oldestReadyMs = team.oldestReadyMs,
                 )
             },
+            memoryGb = pressure.capacity.memoryGb,
+            cards = pressure.capacity.cards,
             meanRunS = pressure.meanRunS?.let { Math.round(it * 10) / 10.0 },
             images = pressure.images.toList(),
             fetchFactor = Math.round(pressure.fetchFactor * 10) / 10.0,
@@ -70,7 +72,7 @@
         val record = view.pressure
         return PartitionPressure(
             zone = view.zone,
-            capacity = Resources(cores = view.cores),
+            capacity = Resources(view.cores, record?.memoryGb ?: 0.0, record?.cards ?: 0.0),
             ordinaryCores = view.ordinaryCores,
             mean = view.mean,
             ordinaryMean = view.ordinaryMean,
--- a/src/main/kotlin/io/otterknot/rebalance/StopLimits.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/StopLimits.kt
@@ -5,7 +5,8 @@
 
 /**
  * How many tasks may be being stopped at a time, and how much work thrown away, while one plan is made. All bounds are
- * shares of what runs, so they hold at any size; one task may always be stopped.
+ * shares of what runs, so they hold at any size. Below a bound all the tasks may be stopped that one other needs to get
+ * room: else small partitions could never make any.
  */
 internal class StopLimits(private val settings: LoadSpreadSettings, private val snapshot: PlannerSnapshot) {
     private var stops = snapshot.open.stops
@@ -16,11 +17,9 @@
 
     /** Why [tasks] may not be stopped together; null: they may. */
     fun hindrance(tasks: List<RunningTask>): RefusalReason? {
-        val teams = tasks.groupingBy { it.team }.eachCount()
-        val jobs = tasks.groupingBy { it.spec.id }.eachCount()
-        val isFull = stops + tasks.size > most(snapshot.runningTasks, settings.partitionStopShare) ||
-            teams.any { (team, count) -> (byTeam[team] ?: 0) + count > mostOfTeam(team) } ||
-            jobs.any { (job, count) -> (byJob[job] ?: 0) + count > mostOfJob(job) }
+        val isFull = stops >= most(snapshot.runningTasks, settings.partitionStopShare) ||
+            tasks.any { (byTeam[it.team] ?: 0) >= mostOfTeam(it.team) } ||
+            tasks.any { (byJob[it.spec.id] ?: 0) >= mostOfJob(it.spec.id) }
         return when {
             isFull -> RefusalReason.TOO_MANY_MOVES
             tasks.sumOf { it.lostCoreS } > lostWorkLeft -> RefusalReason.LOST_WORK_BUDGET
--- a/src/main/kotlin/io/otterknot/state/Records.kt
+++ b/src/main/kotlin/io/otterknot/state/Records.kt
@@ -68,6 +68,9 @@
 @Serializable
 data class PressureRecord(
     @SerialName("t") val teams: Map<String, TeamPressureRecord> = emptyMap(),
+    /** What its machines have besides the cores. */
+    @SerialName("m") val memoryGb: Double = 0.0,
+    @SerialName("g") val cards: Double = 0.0,
     /** How long tasks run there, in seconds. */
     @SerialName("r") val meanRunS: Double? = null,
     /** Images that many of its machines have. */
