A leader taken over by force restarts no task on its own clock alone

A task that ran on one machine was started on another one by the former leader of the partition.

Order of events, in SupersededLeaderTest: the leader of zone a loses the store, its peers and most of its machines; some machines still reach it. The machines that lost it turn to another controller, which takes the partition over by force, answers them and so renews their leases. The former leader has not noticed. By its clock their leases expire 10.7 s after their last report to it, it makes their tasks pending and starts them on the machines that still report to it.

Cause: the expiry of a lease, or the release of a machine, was taken as proof that nobody runs the task, although another controller could have renewed the lease or inherited the task meanwhile: knowledge of the past used as if it were current. The safety argument covered tasks that only one of the two leaders starts, not a task that the former leader makes pending again.

Fix: such evidence counts only once the store has confirmed the leadership at a time after it. If the record still showed this leader then, no other one can have answered the machine before, and every later one finds the task on no machine either. The same holds for unreconciled tasks after a failover. Evidence in a heartbeat with this leader's token needs no confirmation: a machine that showed it has not seen another leader. The confirmation is the check that every renewal makes; one that is waited for is made at once instead of at the next renewal.

--- a/src/main/kotlin/io/otterknot/autoscaling/CloudInspection.kt
+++ b/src/main/kotlin/io/otterknot/autoscaling/CloudInspection.kt
@@ -54,7 +54,7 @@
     /** Removes machines that neither report nor appear in the list: the cloud has reclaimed them. */
     private fun removeUnlistedFrom(partition: Partition, listedIds: Set<String>, now: Long) {
         val unlisted = partition.machines.filter { it.leaseExpired && it.id !in listedIds }
-        unlisted.filter { now - it.lastHeartbeatMs > UNLISTED_MS }.forEach { partition.fleet.forget(it.id) }
+        unlisted.filter { now - it.lastHeartbeatMs > UNLISTED_MS }.forEach { partition.fleet.forget(it.id, now) }
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/autoscaling/ScaleIn.kt
+++ b/src/main/kotlin/io/otterknot/autoscaling/ScaleIn.kt
@@ -99,7 +99,7 @@
         for (id in batch) {
             expected.remove(id)
             releasedIds.add(id)
-            ledPartitions.all.forEach { it.fleet.machineReleased(id) }
+            ledPartitions.all.forEach { it.fleet.machineReleased(id, nowMs()) }
         }
     }
 
--- a/src/main/kotlin/io/otterknot/controller/PartitionActivator.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionActivator.kt
@@ -47,7 +47,7 @@
         if (hasLostLeadership) return
         val registeredMachines = machines.typesByMachine(zone)
         val priorLeaderUntilMs = leadership.takeoverMarkers.priorLeaderUntilMs(zone, acquired.isForcedTakeover)
-        val partition = factory.create(acquired, priorLeaderUntilMs, registeredMachines)
+        val partition = factory.create(acquired, priorLeaderUntilMs, registeredMachines, leadership.confirmation)
         jobs.activeJobs.forEach { partition.updateJob(it, inherited = true) }
         partitions[zone] = partition
         log.info(
--- a/src/main/kotlin/io/otterknot/controller/PartitionFactory.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionFactory.kt
@@ -4,6 +4,7 @@
 import io.otterknot.config.SiteSettings
 import io.otterknot.config.TeamSettings
 import io.otterknot.leadership.LeadershipAcquisition
+import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.partition.LeadershipTerm
 import io.otterknot.partition.LeaseTimings
 import io.otterknot.partition.Partition
@@ -33,9 +34,11 @@
         acquired: LeadershipAcquisition,
         priorLeaderUntilMs: Long,
         registeredMachines: Map<String, String>,
+        confirmation: LeadershipConfirmation,
     ): Partition = Partition(
         term = LeadershipTerm(acquired.zone, acquired.fencingToken, acquiredMs = nowMs(), priorLeaderUntilMs),
         leases = LeaseTimings(settings.workers.leaseMs),
+        confirmation,
         scheduling = SchedulingInputs(objectives, random, wallTimeOf = { timeMs -> timeMs + wallClockOffsetMs() }),
         machineTypes = catalog::type,
         teamQuotas = settings.teams.map { teamQuota(it, acquired.zone) },
--- a/src/main/kotlin/io/otterknot/leadership/PartitionLeadership.kt
+++ b/src/main/kotlin/io/otterknot/leadership/PartitionLeadership.kt
@@ -1,5 +1,6 @@
 package io.otterknot.leadership
 
+import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.partition.Partition
 import io.otterknot.records.LeaderRecord
 import io.otterknot.records.StoreKeys
@@ -41,6 +42,9 @@
     private val acquirer = PartitionAcquirer(record, client, replica, storeLease, ledPartitions, policy, nowMs)
     private val transfers = LeadershipTransfers(settings, client, leaderRecords, ledPartitions, policy, nowMs)
 
+    /** Until when this controller is known to have been the only leader of its partitions. */
+    val confirmation: LeadershipConfirmation get() = storeLease
+
     val ledPartitionCount: Int get() = ledPartitions.size
 
     /** The share of all partitions, from 0 to 1, that this controller may act for now. */
--- a/src/main/kotlin/io/otterknot/leadership/StoreLeaseKeeper.kt
+++ b/src/main/kotlin/io/otterknot/leadership/StoreLeaseKeeper.kt
@@ -1,12 +1,15 @@
 package io.otterknot.leadership
 
+import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.records.StoreKeys
 import io.otterknot.store.KeyValueStoreClient
 import io.otterknot.store.LeaseRenewal
 import io.otterknot.store.StoreReplica
 import io.otterknot.store.TransactionOutcome
 import io.otterknot.wire.VersionCondition
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import kotlin.random.Random
 
@@ -27,9 +30,14 @@
     private val fence: Fence,
     private val nowMs: () -> Long,
     private val random: Random,
-) {
+) : LeadershipConfirmation {
     private val log = LoggerFactory.getLogger(StoreLeaseKeeper::class.java)
 
+    private val confirmationRequests = Channel<Unit>(Channel.CONFLATED)
+
+    override var confirmedMs = Long.MIN_VALUE
+        private set
+
     /** The lease that the store granted, or null before the first grant and after the lease has expired. */
     var leaseId: Long? = null
         private set
@@ -41,7 +49,18 @@
             val isKept = renewOrGrant() && isLeadershipConfirmed()
             if (isKept && !fence.isValid(sentMs)) log.info("lease={} store lease valid", leaseId)
             if (isKept) fence.extend(sentMs)
-            delay(if (isKept) fence.leaseTtlMs / RENEWALS_PER_TTL else RETRY_MIN_MS + random.nextLong(RETRY_JITTER_MS))
+            if (isKept) awaitNextRound() else delay(RETRY_MIN_MS + random.nextLong(RETRY_JITTER_MS))
+        }
+    }
+
+    override fun request() {
+        confirmationRequests.trySend(Unit)
+    }
+
+    private suspend fun awaitNextRound() {
+        withTimeoutOrNull(fence.leaseTtlMs / RENEWALS_PER_TTL) {
+            delay(MIN_ROUND_INTERVAL_MS)
+            confirmationRequests.receive()
         }
     }
 
@@ -86,12 +105,17 @@
      * or null if that is not known. Drops the partitions that this controller does not lead any more.
      */
     private suspend fun confirmedRevision(): Long? {
+        confirmationRequests.tryReceive()
+        val sentMs = nowMs()
         val expectedTokens = ledPartitions.fencingTokens()
         if (expectedTokens.isEmpty()) return client.revisionWithoutWaiting()
         client.rateLimiter.acquireWithoutWaiting()
         val conditions = expectedTokens.map { (zone, token) -> VersionCondition(StoreKeys.partition(zone), token) }
         return when (val outcome = client.checkConditions(conditions)) {
-            is TransactionOutcome.Applied -> outcome.revision
+            is TransactionOutcome.Applied -> {
+                confirmedMs = sentMs
+                outcome.revision
+            }
 
             is TransactionOutcome.Conflict -> {
                 dropFailedPartitions(expectedTokens, outcome.failedKeys)
@@ -112,6 +136,7 @@
 
     private companion object {
         const val RENEWALS_PER_TTL = 7
+        const val MIN_ROUND_INTERVAL_MS = 250L
         const val RETRY_MIN_MS = 400L
         const val RETRY_JITTER_MS = 600L
         const val REPLICA_WAIT_MS = 2_000L
--- a/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
+++ b/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
@@ -97,6 +97,11 @@
         requeue(attempt)
     }
 
+    /** Releases and requeues the attempts on [machine] whose start has never been sent. */
+    fun releaseUnsent(machine: Machine) {
+        machine.attempts.values.filter { it.phase == AttemptPhase.BOOKED }.forEach(::releaseAndRequeue)
+    }
+
     /** Releases and requeues all attempts on [machine], none of which exists there any more. */
     fun releaseAll(machine: Machine) {
         for (attempt in machine.attempts.values.toList()) releaseAndRequeue(attempt)
--- a/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
+++ b/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
@@ -12,6 +12,7 @@
 class FailoverReconciliation(
     private val term: LeadershipTerm,
     private val leases: LeaseTimings,
+    private val confirmation: LeadershipConfirmation,
     private val unreconciled: MachineSet,
     private val machines: PartitionMachines,
     private val jobs: PartitionJobs,
@@ -53,10 +54,11 @@
      */
     fun priorTokenShown(machine: Machine, now: Long) {
         machine.markUnreconciled()
-        if (now - term.priorLeaderUntilMs <= leases.noRenewalAfterMs) {
-            machine.leaseMayStart(now)
-        } else {
-            machineReconciled(machine, now)
+        val noRenewalMs = term.priorLeaderUntilMs + leases.noRenewalAfterMs
+        when {
+            now <= noRenewalMs -> machine.leaseMayStart(now)
+            confirmation.confirmedMs > noRenewalMs -> machineReconciled(machine, now)
+            else -> confirmation.request()
         }
     }
 
@@ -66,7 +68,7 @@
      */
     fun completeIfReconciled(now: Long) {
         if (isComplete) return
-        unreconciled.removeIf { isLeaseExpiryCertain(it, now) }
+        removeExpiredMachines(now)
         if (!unreconciled.isEmpty) return
         isComplete = true
         val taskCount = jobs.makeUnreconciledTasksPending()
@@ -78,13 +80,24 @@
         )
     }
 
+    private fun removeExpiredMachines(now: Long) {
+        var isConfirmationDue = false
+        unreconciled.removeIf { id ->
+            val expiryMs = guaranteedLeaseExpiryMs(id)
+            val isConfirmed = expiryMs < confirmation.confirmedMs
+            if (expiryMs < now && !isConfirmed) isConfirmationDue = true
+            expiryMs < now && isConfirmed
+        }
+        if (isConfirmationDue) confirmation.request()
+    }
+
     /**
-     * Whether the lease of a machine has certainly expired. A response with the new token renews the lease of a machine
-     * that still holds an earlier leader's tasks: if the machine then becomes unresponsive, its lease expires later
-     * than the leases of machines that never reported to this leader.
+     * When the lease of a machine will certainly have expired, unless this leader renews it again. A response with the
+     * new token renews the lease of a machine that still holds an earlier leader's tasks: if the machine then becomes
+     * unresponsive, its lease expires later than the leases of machines that never reported to this leader.
      */
-    private fun isLeaseExpiryCertain(machineId: String, now: Long): Boolean {
+    private fun guaranteedLeaseExpiryMs(machineId: String): Long {
         val lastRenewalMs = machines[machineId]?.leaseStartMs ?: term.priorLeaderUntilMs
-        return now - maxOf(term.priorLeaderUntilMs, lastRenewalMs) > leases.guaranteedExpiryMs
+        return maxOf(term.priorLeaderUntilMs, lastRenewalMs) + leases.guaranteedExpiryMs
     }
 }
--- a/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
+++ b/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
@@ -3,10 +3,11 @@
 import io.otterknot.scheduling.Machine
 import org.slf4j.LoggerFactory
 
-/** Releases the attempts of machines whose lease has expired or that the cloud has released. */
+/** Takes machines whose lease has expired out of service, and releases their attempts once that is certain. */
 class MachineLifecycle(
     private val zone: String,
     private val leases: LeaseTimings,
+    private val confirmation: LeadershipConfirmation,
     private val state: PartitionState,
     private val stragglers: StragglerDetector,
 ) {
@@ -18,47 +19,35 @@
      */
     fun check(now: Long, isLeaderSlow: Boolean) {
         for (machine in state.machines.all) {
-            if (!machine.leaseExpired && isLeaseExpiryCertain(machine, now)) expireLease(machine)
+            if (!machine.leaseExpired && guaranteedLeaseExpiryMs(machine) < now) expireLease(machine)
+            if (machine.leaseExpired) releaseAttemptsIfConfirmed(machine)
             if (isLeaderSlow) machine.clearLostResponses()
             if (!machine.leaseExpired) stragglers.stopStragglers(machine, now)
         }
     }
 
-    private fun isLeaseExpiryCertain(machine: Machine, now: Long): Boolean =
-        now - machine.leaseStartMs > leases.guaranteedExpiryMs &&
-            now - machine.lastHeartbeatMs > leases.guaranteedExpiryMs
+    /** When the lease of [machine] will certainly have expired, unless this leader renews it again. */
+    private fun guaranteedLeaseExpiryMs(machine: Machine): Long =
+        maxOf(machine.leaseStartMs, machine.lastHeartbeatMs) + leases.guaranteedExpiryMs
 
     private fun expireLease(machine: Machine) {
-        log.info(
-            "partition={} machine={} attempts={} lease expired, attempts released",
-            zone,
-            machine.id,
-            machine.attempts.size,
-        )
-        machine.expireLease()
-        val withUnknownTasks = state.unknownUsage.withUnknownTasks
-        val holdsEndedJobs = machine.attempts.values.any { it.job.finished } || machine.id in withUnknownTasks
+        log.info("partition={} machine={} attempts={} lease expired", zone, machine.id, machine.attempts.size)
+        val holdsEndedJobs = machine.attempts.values.any { it.job.finished } ||
+            machine.id in state.unknownUsage.withUnknownTasks
         if (holdsEndedJobs) state.health.markUnresponsiveWithEndedJobs(machine.id)
-        withUnknownTasks.remove(machine.id)
-        state.attempts.releaseAll(machine)
-    }
-
-    /** Removes a machine that no longer exists, as the cloud has confirmed; its id is never reused. */
-    fun release(id: String) {
-        state.machines.markReleased(id)
-        forget(id)
-        state.machines.rejectFurtherHeartbeats(id)
+        machine.expireLease()
+        state.attempts.releaseUnsent(machine)
     }
 
-    /**
-     * Removes a machine that the cloud has not listed since long after its lease expired. If it reports after all, it
-     * is added as a new machine.
-     */
-    fun forget(id: String) {
-        state.unknownUsage.forget(id)
-        state.health.forget(id)
-        val machine = state.machines[id] ?: return
+    /** Until the leadership is confirmed, another leader may have renewed the lease. */
+    private fun releaseAttemptsIfConfirmed(machine: Machine) {
+        val withUnknownTasks = state.unknownUsage.withUnknownTasks
+        if (machine.attempts.isEmpty() && machine.id !in withUnknownTasks) return
+        if (confirmation.confirmedMs <= guaranteedLeaseExpiryMs(machine)) {
+            confirmation.request()
+            return
+        }
+        withUnknownTasks.remove(machine.id)
         state.attempts.releaseAll(machine)
-        state.machines.remove(machine)
     }
 }
--- a/src/main/kotlin/io/otterknot/partition/Partition.kt
+++ b/src/main/kotlin/io/otterknot/partition/Partition.kt
@@ -26,6 +26,7 @@
 class Partition(
     private val term: LeadershipTerm,
     leases: LeaseTimings,
+    confirmation: LeadershipConfirmation,
     scheduling: SchedulingInputs,
     machineTypes: (name: String) -> MachineType?,
     teamQuotas: List<TeamQuota>,
@@ -54,19 +55,20 @@
     private val health = MachineHealth(partitionMachines, unknownUsage.unreconciled)
     private val state = PartitionState(partitionMachines, attempts, unknownUsage, health)
     private val reconciliation =
-        FailoverReconciliation(term, leases, unknownUsage.unreconciled, partitionMachines, partitionJobs)
+        FailoverReconciliation(term, leases, confirmation, unknownUsage.unreconciled, partitionMachines, partitionJobs)
     private val placement = PartitionPlacement(partitionMachines, partitionJobs, attempts, teams)
     private val scheduler: Scheduler =
         Scheduler(placement, scheduling.objectives, scheduling.wallTimeOf, scheduling.random)
     private val stragglers = StragglerDetector(zone)
-    private val lifecycle = MachineLifecycle(zone, leases, state, stragglers)
+    private val lifecycle = MachineLifecycle(zone, leases, confirmation, state, stragglers)
+    private val removals = MachineRemovals(confirmation, state)
     private val reconciler =
         HeartbeatReconciler(zone, attempts, partitionJobs, ExitReconciler(zone, attempts, stragglers), fetchTimes)
     private val heartbeats =
         HeartbeatProcessor(term, leases, machineTypes, state, reconciliation, reconciler, scheduler)
 
     /** Registration, release and health of the machines. */
-    val fleet = PartitionFleet(state, lifecycle, reconciliation, trigger)
+    val fleet = PartitionFleet(state, removals, reconciliation, trigger)
 
     /** Quota shares of the teams. */
     val quota = PartitionQuota(zone, teams, partitionJobs, reconciliation, trigger)
@@ -122,6 +124,7 @@
      */
     fun sweep(now: Long, isLeaderSlow: Boolean = false) {
         lifecycle.check(now, isLeaderSlow)
+        removals.removeConfirmed()
         reconciliation.completeIfReconciled(now)
         scheduler.placeAll(now)
     }
--- a/src/main/kotlin/io/otterknot/partition/PartitionFleet.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionFleet.kt
@@ -5,7 +5,7 @@
 /** The machines of a partition as registration in the store and autoscaling see them. */
 class PartitionFleet(
     private val state: PartitionState,
-    private val lifecycle: MachineLifecycle,
+    private val removals: MachineRemovals,
     private val reconciliation: FailoverReconciliation,
     private val trigger: PlacementTrigger,
 ) {
@@ -23,11 +23,11 @@
     /** The types of the machines that an earlier leader registered and that have not reported to this leader yet. */
     fun unreportedTypes(): List<String> = reconciliation.unreportedMachineTypes()
 
-    /** See [MachineLifecycle.release]. */
-    fun machineReleased(id: String) = lifecycle.release(id)
+    /** See [MachineRemovals.released]. */
+    fun machineReleased(id: String, now: Long) = removals.released(id, now)
 
-    /** See [MachineLifecycle.forget]. */
-    fun forget(id: String) = lifecycle.forget(id)
+    /** See [MachineRemovals.unlisted]. */
+    fun forget(id: String, now: Long) = removals.unlisted(id, now)
 
     /**
      * Machines to be released because they have not reported for [timeoutMs] while others have, and block tasks or
@@ -35,6 +35,7 @@
      */
     fun unresponsive(now: Long, timeoutMs: Long): List<String> =
         state.health.unresponsive(now, timeoutMs, reconciliation.acquiredMsWhileUnreconciled)
+            .filterNot { it in removals }
 
     /** Machines to be released because the responses to their heartbeats are lost repeatedly. */
     fun losingResponses(): List<String> = state.health.losingResponses()
--- a/src/main/kotlin/io/otterknot/partition/PartitionMachines.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionMachines.kt
@@ -28,11 +28,8 @@
      * has not reported yet or was removed. Packets and copies of them may be delivered late, so older heartbeats are
      * ignored.
      */
-    fun isNewer(heartbeat: Heartbeat, known: Machine?): Boolean = if (known != null) {
-        heartbeat.isNewerThan(known.epoch, known.lastSequence)
-    } else {
-        removed.isNewer(heartbeat)
-    }
+    fun isNewer(heartbeat: Heartbeat, known: Machine?): Boolean =
+        removed.isNewer(heartbeat) && (known == null || heartbeat.isNewerThan(known.epoch, known.lastSequence))
 
     /** Adds the machine that sent its first [heartbeat]. */
     fun add(heartbeat: Heartbeat, type: MachineType, now: Long): Machine {
--- a/src/main/kotlin/io/otterknot/scheduling/Machine.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Machine.kt
@@ -144,7 +144,7 @@
         leaseStartMs = now
     }
 
-    /** Records that no response renewed the lease in time, so that the worker has killed all of its attempts. */
+    /** Takes the machine out of service until it reports again: its lease was not renewed in time, or it is gone. */
     fun expireLease() {
         leaseExpired = true
         markNotIdle()
--- a/src/test/kotlin/io/otterknot/partition/FailoverReconciliationTest.kt
+++ b/src/test/kotlin/io/otterknot/partition/FailoverReconciliationTest.kt
@@ -33,12 +33,41 @@
             partition.heartbeat("m1", TOKEN, 100)
             partition.sweep(10_000)
             assertFalse(partition.reconciled)
-            if (released) partition.fleet.machineReleased("gone")
+            if (released) partition.fleet.machineReleased("gone", 10_000)
             partition.sweep(if (released) 10_000 else 10_800)
             assertEquals(1, partition.heartbeat("m1", TOKEN, 10_900).starts().size)
         }
     }
 
+    @Test
+    fun `unreconciled tasks wait while a later leader may have renewed the lease of an unresponsive machine`() {
+        for (released in listOf(true, false)) {
+            val partition = partition(listOf("m1", "gone"))
+            partition.updateJob(job(1, 1), inherited = true)
+            partition.heartbeat("m1", TOKEN, 100)
+            confirmation.confirmedMs = 9_000
+            if (released) partition.fleet.machineReleased("gone", 10_000)
+            partition.sweep(20_000)
+            assertTrue(partition.heartbeat("m1", TOKEN, 20_000).starts().isEmpty())
+            confirmation.confirmedMs = 20_100
+            partition.sweep(20_500)
+            assertEquals(1, partition.heartbeat("m1", TOKEN, 20_600).starts().size)
+        }
+    }
+
+    @Test
+    fun `a late heartbeat with an earlier token proves nothing while a later leader may have renewed the lease`() {
+        val partition = partition(listOf("m1", "late"))
+        partition.updateJob(job(1, 1), inherited = true)
+        partition.heartbeat("m1", TOKEN, 100)
+        confirmation.confirmedMs = 14_000
+        partition.heartbeat("late", PRIOR_TOKEN, 16_000, runningTask("j-000001/0"))
+        assertTrue(partition.heartbeat("m1", TOKEN, 16_000).starts().isEmpty())
+        confirmation.confirmedMs = 16_000
+        partition.heartbeat("late", PRIOR_TOKEN, 16_500, runningTask("j-000001/0"))
+        assertEquals(1, partition.heartbeat("m1", TOKEN, 16_600).starts().size)
+    }
+
     @Test
     fun `an unresponsive machine that was sent the token keeps its tasks until the renewed lease expires`() {
         val partition = partition(listOf("m1", "m2"))
--- a/src/test/kotlin/io/otterknot/partition/MachineHealthTest.kt
+++ b/src/test/kotlin/io/otterknot/partition/MachineHealthTest.kt
@@ -34,7 +34,7 @@
         assertEquals(listOf("m1", "m2"), partition.fleet.unresponsive(10_900, 20_000).sorted())
         partition.heartbeat("m1", TOKEN, 11_000, epoch = 2, sequence = 1)
         assertEquals(listOf("m2"), partition.fleet.unresponsive(11_000, 20_000), "m1 reports again, without tasks")
-        partition.fleet.machineReleased("m2")
+        partition.fleet.machineReleased("m2", 11_000)
         assertEquals(emptyList<String>(), partition.fleet.unresponsive(11_000, 20_000))
     }
 
--- a/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
+++ b/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
@@ -4,6 +4,7 @@
 import io.otterknot.records.JobRecord
 import io.otterknot.records.QuotaAmount
 import io.otterknot.records.TaskSpan
+import io.otterknot.testing.FakeConfirmation
 import io.otterknot.testing.applyRecord
 import io.otterknot.testing.testPartition
 import io.otterknot.testing.unlimitedTeam
@@ -26,6 +27,8 @@
     private val machineType = MachineType("big", 8.0, 0.0, 64.0)
     private val lastSequences = HashMap<String, Long>()
 
+    protected val confirmation = FakeConfirmation()
+
     /** How often a machine type was looked up. */
     protected var typeLookups = 0
 
@@ -39,6 +42,7 @@
         fencingToken = TOKEN,
         priorLeaderUntilMs = priorLeaderUntilMs,
         registeredMachines = registered.associateWith { "big" },
+        confirmation = confirmation,
     ) { machineType.also { typeLookups++ } }
 
     protected fun job(
--- a/src/test/kotlin/io/otterknot/partition/TeamQuotaLedgerTest.kt
+++ b/src/test/kotlin/io/otterknot/partition/TeamQuotaLedgerTest.kt
@@ -16,7 +16,7 @@
         partition.updateJob(job(1, 4), inherited = false)
         val starts = partition.heartbeat("m1", TOKEN, 10).starts()
         assertEquals(1, starts.size, "eight of ten cores may be in use on the unreconciled machine")
-        partition.fleet.machineReleased("unknown")
+        partition.fleet.machineReleased("unknown", 15)
         partition.sweep(20)
         assertEquals(4, partition.heartbeat("m1", TOKEN, 30).starts().size)
         partition.updateJob(job(2, 4), inherited = false)
--- a/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
@@ -51,9 +51,12 @@
     /** Whether its reports are lost. */
     var outboundBlocked = false
 
+    /** Nodes that this worker alone cannot reach: its reports to them are held back until the node is removed. */
+    val unreachableNodes = HashSet<String>()
+
     /** Whether it can run waiting tasks: it is not affected by a fault and was booted more than 10 s ago. */
     val isHealthy: Boolean get() = nowMs() > hungUntilMs && !inboundBlocked && !outboundBlocked && !failsTasks &&
-        nowMs() - bootedMs > 10_000
+        unreachableNodes.isEmpty() && nowMs() - bootedMs > 10_000
 
     val freeCores: Double get() = CORES - tasks.values.filterNot { it.isTerminal }.sumOf { checks.spec(it.job).cores }
 
@@ -140,10 +143,10 @@
         val to = node
         if (random.nextDouble() < cluster.duplicateReportShare) sendDuplicate(to, body)
         return when {
-            cluster.isHeldBack(zone, to) -> {
+            isHeldBack(to) -> {
                 // The report is delivered once the connection is restored; the worker does not receive its answer.
                 cluster.scope.launch {
-                    while (cluster.isHeldBack(zone, to)) delay(100)
+                    while (isHeldBack(to)) delay(100)
                     report(to, body)
                 }
                 delay(REPORT_TIMEOUT_MS)
@@ -169,6 +172,8 @@
         }
     }
 
+    private fun isHeldBack(to: String) = to in unreachableNodes || cluster.isHeldBack(zone, to)
+
     private fun sendDuplicate(to: String, body: ByteArray) = cluster.scope.launch {
         delay(1_000 + random.nextLong((LEASE_S * 2_500).toLong()))
         report(if (random.nextBoolean()) to else cluster.nodes.random(random), body)
--- a/src/test/kotlin/io/otterknot/testing/TestPartitions.kt
+++ b/src/test/kotlin/io/otterknot/testing/TestPartitions.kt
@@ -1,5 +1,6 @@
 package io.otterknot.testing
 
+import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.partition.LeadershipTerm
 import io.otterknot.partition.LeaseTimings
 import io.otterknot.partition.Partition
@@ -13,6 +14,16 @@
 /** A team whose quota is never reached. */
 fun unlimitedTeam(name: String, weight: Double = 1.0) = TeamQuota(name, weight, QuotaAmount(1e9, 0.0))
 
+/** A leadership that is confirmed at any time unless [confirmedMs] is set. */
+class FakeConfirmation(override var confirmedMs: Long = Long.MAX_VALUE) : LeadershipConfirmation {
+    var requests = 0
+        private set
+
+    override fun request() {
+        requests++
+    }
+}
+
 /**
  * A partition acquired at 0 ms, with worker leases of ten seconds and a wall clock that equals its monotonic clock.
  * [registeredMachines] maps machine ids to the names of their types.
@@ -24,10 +35,12 @@
     priorLeaderUntilMs: Long = 0,
     objectives: ServiceLevelObjectives = ServiceLevelObjectives(emptyMap()),
     registeredMachines: Map<String, String> = emptyMap(),
+    confirmation: LeadershipConfirmation = FakeConfirmation(),
     machineTypes: (name: String) -> MachineType?,
 ) = Partition(
     LeadershipTerm(zone, fencingToken, acquiredMs = 0, priorLeaderUntilMs),
     LeaseTimings(leaseMs = 10_000),
+    confirmation,
     SchedulingInputs(objectives, Random(1), wallTimeOf = { it }),
     machineTypes,
     teamQuotas,
