An acquisition is not taken up if the replica already shows a later one

What could be seen: the answer to an acquisition arrives late, and meanwhile another controller has taken the partition over by force. The controller took up the leadership all the same, for 250 ms and for as long as it was busy with acquisitions of other zones. Its replica already held jobs and reassignments written after the later acquisition, which the new leader serves too; the safety argument rests on no leader processing those.

Cause: an answer was acted on although newer knowledge had arrived on another way. The check existed for partitions that are led, not at the moment of taking one up.

Fix: the check is made when the answer arrives. The log line of an applied acquisition names incarnation, prior leader and prior token.

--- a/src/main/kotlin/io/otterknot/leadership/PartitionAcquirer.kt
+++ b/src/main/kotlin/io/otterknot/leadership/PartitionAcquirer.kt
@@ -65,10 +65,8 @@
         val change = acquisition(zone, previous, leaseId, isForcedTakeover)
         client.rateLimiter.acquire(change.size)
         when (val outcome = client.transact(change)) {
-            is TransactionOutcome.Applied -> {
-                policy.acquired(zone)
-                ledPartitions.acquired(LeadershipAcquisition(zone, outcome.revision, isForcedTakeover))
-            }
+            is TransactionOutcome.Applied ->
+                takeUp(LeadershipAcquisition(zone, outcome.revision, isForcedTakeover), previous)
 
             is TransactionOutcome.Conflict -> replica.awaitRevision(outcome.revision, REPLICA_WAIT_MS)
 
@@ -81,6 +79,30 @@
         }
     }
 
+    /**
+     * Takes up an [acquisition] that the store has applied, unless the replica already shows that it has ended: this
+     * controller would then process changes that a later leader processes too.
+     */
+    private fun takeUp(acquisition: LeadershipAcquisition, previous: Snapshot<LeaderRecord>) {
+        val zone = acquisition.zone
+        val fencingToken = acquisition.fencingToken
+        policy.acquired(zone)
+        if (leaderRecords.isSuperseded(zone, fencingToken)) {
+            log.warn("partition={} fencing_token={} acquisition superseded before its answer", zone, fencingToken)
+            return
+        }
+        log.info(
+            "partition={} fencing_token={} incarnation={} forced={} prior_leader={} prior_token={} acquisition applied",
+            zone,
+            fencingToken,
+            record.incarnation,
+            acquisition.isForcedTakeover,
+            previous.value?.leader,
+            previous.version,
+        )
+        ledPartitions.acquired(acquisition)
+    }
+
     /**
      * Returns the transaction of an acquisition. A forced takeover also writes the marker that makes later leaders wait
      * until the fence of the previous leader has expired.
--- a/src/test/kotlin/io/otterknot/testing/LeadershipFixture.kt
+++ b/src/test/kotlin/io/otterknot/testing/LeadershipFixture.kt
@@ -17,13 +17,14 @@
     domains: Map<String, String>,
     zones: List<String> = domains.values.toList(),
     partitions: MutableMap<String, Partition> = HashMap(),
+    onAcquired: (LeadershipAcquisition) -> Unit = {},
 ): PartitionLeadership {
     val host = object : LeadershipHost {
         override val canServePartitions = true
         override fun registeredMachines(zone: String) = emptySet<String>()
     }
     val listener = object : LeadershipListener {
-        override fun leadershipAcquired(acquisition: LeadershipAcquisition) = Unit
+        override fun leadershipAcquired(acquisition: LeadershipAcquisition) = onAcquired(acquisition)
 
         override fun leadershipLost(zone: String) {
             partitions.remove(zone)
