Reasons of starts typed, logged and counted; violated invariants reported

PartitionJob refuses tasks that by its own state a worker or another partition may have; a refusal, and a second attempt of a task that is not given up, is an error line and the counter "invariants violated", and fails partition tests and simulated clusters.

--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -22,6 +22,7 @@
 import io.otterknot.leadership.storeLeaseTtlMs
 import io.otterknot.metrics.Metrics
 import io.otterknot.partition.Partition
+import io.otterknot.partition.PartitionMonitoring
 import io.otterknot.peer.IdlePartitionAnnouncer
 import io.otterknot.peer.IdlePartitions
 import io.otterknot.peer.PeerMessage
@@ -64,6 +65,7 @@
     private val site = settings.facts
     private val controllerCount = maxOf(site.nodes, settings.members.size + 1)
     private val metrics = Metrics(nowMs)
+    private val invariants = LoggedInvariantMonitor(metrics)
     private val limitShares = LimitShares(controllerCount) { leadership.ledPartitionShare() }
     private val store = StoreStack(site.state, controllerCount, transports, limitShares, metrics, random, nowMs)
     private val cloud = CloudClient(transports.cloud, RateLimiter(site.cloud.rps, 1.0, nowMs, limitShares::ofCloud))
@@ -101,6 +103,7 @@
         jobs,
         machines,
         PartitionFactory(site, catalog, quotaShares, objectives, random, nowMs, wallMs),
+        PartitionMonitoring({ metrics.count(it) }, invariants),
     )
     private val sweeper = PartitionSweeper(partitions, activator, metrics, nowMs)
 
@@ -209,6 +212,9 @@
     /** Answers a request of another controller. */
     suspend fun handlePeerRequest(request: PeerMessage): PeerMessage = peerRequests.handle(request)
 
+    /** How many violated invariants this controller has found since its start. */
+    fun invariantViolations(): Int = invariants.count
+
     /** Returns the number of load-spread moves that have ended in the partitions led now, by kind and final state. */
     fun moveEnds(): Map<Pair<MoveKind, MoveState>, Int> = loadSpread.endedMoveCounts()
 
--- a/src/main/kotlin/io/otterknot/controller/PartitionActivator.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionActivator.kt
@@ -4,6 +4,7 @@
 import io.otterknot.leadership.LeadershipAcquisition
 import io.otterknot.leadership.PartitionLeadership
 import io.otterknot.partition.Partition
+import io.otterknot.partition.PartitionMonitoring
 import io.otterknot.store.StoreReplica
 import org.slf4j.LoggerFactory
 
@@ -20,6 +21,7 @@
     private val jobs: JobTable,
     private val machines: RegisteredMachines,
     private val factory: PartitionFactory,
+    private val monitoring: PartitionMonitoring,
 ) {
     private val log = LoggerFactory.getLogger(PartitionActivator::class.java)
     private val queue = ArrayList<LeadershipAcquisition>()
@@ -47,7 +49,13 @@
         if (hasLostLeadership) return
         val registeredMachines = machines.typesByMachine(zone)
         val priorLeaderUntilMs = leadership.takeoverMarkers.priorLeaderUntilMs(zone, acquired.isForcedTakeover)
-        val partition = factory.create(acquired, priorLeaderUntilMs, registeredMachines, leadership.confirmation)
+        val partition = factory.create(
+            acquired,
+            priorLeaderUntilMs,
+            registeredMachines,
+            leadership.confirmation,
+            monitoring,
+        )
         jobs.activeJobs.forEach { partition.updateJob(it, inherited = true) }
         partitions[zone] = partition
         log.info(
--- a/src/main/kotlin/io/otterknot/controller/PartitionFactory.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionFactory.kt
@@ -4,10 +4,12 @@
 import io.otterknot.config.SiteSettings
 import io.otterknot.config.TeamSettings
 import io.otterknot.leadership.LeadershipAcquisition
+import io.otterknot.partition.LeaderEvidence
 import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.partition.LeadershipTerm
 import io.otterknot.partition.LeaseTimings
 import io.otterknot.partition.Partition
+import io.otterknot.partition.PartitionMonitoring
 import io.otterknot.partition.SchedulingInputs
 import io.otterknot.partition.TeamQuota
 import io.otterknot.quota.QuotaShares
@@ -35,14 +37,15 @@
         priorLeaderUntilMs: Long,
         registeredMachines: Map<String, String>,
         confirmation: LeadershipConfirmation,
+        monitoring: PartitionMonitoring,
     ): Partition = Partition(
         term = LeadershipTerm(acquired.zone, acquired.fencingToken, acquiredMs = nowMs(), priorLeaderUntilMs),
-        leases = LeaseTimings(settings.workers.leaseMs),
-        confirmation,
+        evidence = LeaderEvidence(LeaseTimings(settings.workers.leaseMs), confirmation),
         scheduling = SchedulingInputs(objectives, random, wallTimeOf = { timeMs -> timeMs + wallClockOffsetMs() }),
         machineTypes = catalog::type,
         teamQuotas = settings.teams.map { teamQuota(it, acquired.zone) },
         registeredMachines = registeredMachines,
+        monitoring = monitoring,
     )
 
     /** Returns the lead of the wall clock over the monotonic clock; not cached, since the wall clock may be set. */
--- a/src/main/kotlin/io/otterknot/leadership/Fence.kt
+++ b/src/main/kotlin/io/otterknot/leadership/Fence.kt
@@ -11,7 +11,9 @@
  * @property leaseTtlMs time to live of the store lease that the fence is derived from
  */
 class Fence(val leaseTtlMs: Long) {
-    private var validUntilMs = Long.MIN_VALUE
+    /** When the fence expires, by this controller's monotonic clock. */
+    var validUntilMs = Long.MIN_VALUE
+        private set
 
     /** Extends the fence after a renewal sent at [renewalSentMs] succeeded; never shortens it. */
     fun extend(renewalSentMs: Long) {
--- a/src/main/kotlin/io/otterknot/leadership/StoreLeaseKeeper.kt
+++ b/src/main/kotlin/io/otterknot/leadership/StoreLeaseKeeper.kt
@@ -48,11 +48,22 @@
             val sentMs = nowMs()
             val isKept = renewOrGrant() && isLeadershipConfirmed()
             if (isKept && !fence.isValid(sentMs)) log.info("lease={} store lease valid", leaseId)
-            if (isKept) fence.extend(sentMs)
+            if (isKept) extendFence(sentMs)
             if (isKept) awaitNextRound() else delay(RETRY_MIN_MS + random.nextLong(RETRY_JITTER_MS))
         }
     }
 
+    private fun extendFence(renewalSentMs: Long) {
+        fence.extend(renewalSentMs)
+        log.debug(
+            "lease={} revision={} confirmed_ms={} fence_until_ms={} leadership confirmed",
+            leaseId,
+            replica.revision,
+            confirmedMs,
+            fence.validUntilMs,
+        )
+    }
+
     override fun request() {
         confirmationRequests.trySend(Unit)
     }
--- a/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
+++ b/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
@@ -4,6 +4,8 @@
 import io.otterknot.scheduling.AttemptPhase
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
+import io.otterknot.scheduling.StartReason
+import java.util.BitSet
 
 /**
  * Books attempts on machines, jobs and teams, which reserves the resources of a task there, and releases these
@@ -14,6 +16,8 @@
     private val teams: TeamQuotaLedger,
     private val waitingWork: WaitingWork,
     private val trigger: PlacementTrigger,
+    private val decisions: DecisionLog,
+    private val invariants: InvariantMonitor,
 ) {
     private var issuedIds = 0L
 
@@ -21,16 +25,19 @@
      * Books the next pending task of [job] on [machine]; the next response to the machine carries the start command.
      */
     fun bookNextTask(job: PartitionJob, machine: Machine, now: Long): Attempt {
-        val task = job.pending.nextSetBit(0)
-        job.pending.clear(task)
-        return book(Attempt(job, task, nextId(), machine, AttemptPhase.BOOKED, now))
+        val task = job.pending.first()
+        val reason = job.pending.reasonOf(task)
+        job.pending.remove(task)
+        val attempt = book(Attempt(job, task, nextId(), machine, AttemptPhase.BOOKED, now))
+        decisions.booked(attempt, reason)
+        return attempt
     }
 
     /** Books an attempt that an earlier leader started and that [machine] reports with the id [attemptId]. */
     fun adopt(machine: Machine, job: PartitionJob, task: Int, attemptId: Long, now: Long): Attempt {
-        job.pending.clear(task)
+        job.pending.remove(task)
         job.unreconciledTasks.clear(task)
-        return book(Attempt(job, task, attemptId, machine, AttemptPhase.SENT, now))
+        return book(Attempt(job, task, attemptId, machine, AttemptPhase.SENT, now)).also(decisions::adopted)
     }
 
     /** Returns an id that no other leader has used and no earlier attempt has: it contains the fencing token. */
@@ -39,6 +46,10 @@
     private fun book(attempt: Attempt): Attempt {
         val job = attempt.job
         val machine = attempt.machine
+        val earlier = job.active.get(attempt.task)
+        if (earlier != null) {
+            invariants.violated("${attempt.name}#${attempt.id} booked while attempt ${earlier.id} is not given up")
+        }
         machine.attempts.put(attempt.id, attempt)
         machine.book(job.spec)
         job.active.put(attempt.task, attempt)
@@ -64,22 +75,28 @@
     }
 
     /** Makes [task] pending again if it still belongs to this partition and is not assigned to a machine. */
-    fun requeue(job: PartitionJob, task: Int) {
+    fun requeue(job: PartitionJob, task: Int, reason: StartReason) {
         if (job.finished || !job.isUnassigned(task)) return
-        job.pending.set(task)
+        makePending(job, BitSet().apply { set(task) }, reason)
+    }
+
+    /** Makes [tasks] of [job] pending; the only way to do so. [reason] is why no worker runs any of them. */
+    fun makePending(job: PartitionJob, tasks: BitSet, reason: StartReason) {
+        val refused = job.makePending(tasks, reason)
+        if (!refused.isEmpty) {
+            invariants.violated("${job.id} tasks $refused not pending although ${reason.logName}: not certainly ended")
+        }
         waitingWork.markChanged(job)
         trigger.requestFullPass()
     }
 
-    fun requeue(attempt: Attempt) = requeue(attempt.job, attempt.task)
-
     /**
      * Records that a machine reports [task] as completed. Until the completion is durable, the task is neither pending
      * nor complete.
      */
     fun recordCompletion(job: PartitionJob, task: Int) {
         job.unrecordedCompletions.set(task)
-        job.pending.clear(task)
+        job.pending.remove(task)
         job.unreconciledTasks.clear(task)
         waitingWork.markChanged(job)
     }
@@ -89,22 +106,29 @@
      * immediately; any other is halted by a command.
      */
     fun stop(attempt: Attempt) {
-        if (attempt.phase == AttemptPhase.BOOKED) releaseAndRequeue(attempt) else attempt.requestStop()
+        if (attempt.phase == AttemptPhase.BOOKED) {
+            giveUp(attempt, StartReason.NEVER_SENT)
+        } else {
+            attempt.requestStop()
+        }
     }
 
-    fun releaseAndRequeue(attempt: Attempt) {
+    /** Releases and requeues [attempt], which no worker runs, for [reason]. */
+    fun giveUp(attempt: Attempt, reason: StartReason) {
+        decisions.givenUp(attempt, reason)
         release(attempt)
-        requeue(attempt)
+        requeue(attempt.job, attempt.task, reason)
     }
 
     /** Releases and requeues the attempts on [machine] whose start has never been sent. */
     fun releaseUnsent(machine: Machine) {
-        machine.attempts.values.filter { it.phase == AttemptPhase.BOOKED }.forEach(::releaseAndRequeue)
+        machine.attempts.values.filter { it.phase == AttemptPhase.BOOKED }
+            .forEach { giveUp(it, StartReason.NEVER_SENT) }
     }
 
-    /** Releases and requeues all attempts on [machine], none of which exists there any more. */
-    fun releaseAll(machine: Machine) {
-        for (attempt in machine.attempts.values.toList()) releaseAndRequeue(attempt)
+    /** Releases and requeues all attempts on [machine], none of which its worker runs, for [reason]. */
+    fun giveUpAll(machine: Machine, reason: StartReason) {
+        for (attempt in machine.attempts.values.toList()) giveUp(attempt, reason)
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/partition/ExitReconciler.kt
+++ b/src/main/kotlin/io/otterknot/partition/ExitReconciler.kt
@@ -3,6 +3,7 @@
 import io.otterknot.scheduling.Attempt
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
+import io.otterknot.scheduling.StartReason
 import io.otterknot.wire.ExitCause
 import io.otterknot.wire.HeartbeatCommand
 import io.otterknot.wire.TaskStatus
@@ -31,7 +32,7 @@
             ExitCause.STOPPED -> Unit
             else -> logUnexpectedExit(attempt.machine, status)
         }
-        attempts.requeue(attempt)
+        attempts.requeue(attempt.job, attempt.task, StartReason.EXIT_REPORTED)
         return forget(status)
     }
 
@@ -41,7 +42,7 @@
      */
     fun handle(machine: Machine, job: PartitionJob, task: Int, status: TaskStatus): HeartbeatCommand? {
         if (status.cause == ExitCause.DONE) return complete(machine, job, task, status)
-        if (job.isUnassigned(task) && !job.unreconciledTasks.get(task)) attempts.requeue(job, task)
+        if (!job.unreconciledTasks.get(task)) attempts.requeue(job, task, StartReason.EXIT_REPORTED)
         return forget(status)
     }
 
--- a/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
+++ b/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
@@ -11,8 +11,7 @@
  */
 class FailoverReconciliation(
     private val term: LeadershipTerm,
-    private val leases: LeaseTimings,
-    private val confirmation: LeadershipConfirmation,
+    private val evidence: LeaderEvidence,
     private val unreconciled: MachineSet,
     private val machines: PartitionMachines,
     private val jobs: PartitionJobs,
@@ -54,11 +53,11 @@
      */
     fun priorTokenShown(machine: Machine, now: Long) {
         machine.markUnreconciled()
-        val noRenewalMs = term.priorLeaderUntilMs + leases.noRenewalAfterMs
+        val noRenewalMs = term.priorLeaderUntilMs + evidence.leases.noRenewalAfterMs
         when {
             now <= noRenewalMs -> machine.leaseMayStart(now)
-            confirmation.confirmedMs > noRenewalMs -> machineReconciled(machine, now)
-            else -> confirmation.request()
+            evidence.confirmation.confirmedMs > noRenewalMs -> machineReconciled(machine, now)
+            else -> evidence.confirmation.request()
         }
     }
 
@@ -84,11 +83,11 @@
         var isConfirmationDue = false
         unreconciled.removeIf { id ->
             val expiryMs = guaranteedLeaseExpiryMs(id)
-            val isConfirmed = expiryMs < confirmation.confirmedMs
+            val isConfirmed = expiryMs < evidence.confirmation.confirmedMs
             if (expiryMs < now && !isConfirmed) isConfirmationDue = true
             expiryMs < now && isConfirmed
         }
-        if (isConfirmationDue) confirmation.request()
+        if (isConfirmationDue) evidence.confirmation.request()
     }
 
     /**
@@ -98,6 +97,6 @@
      */
     private fun guaranteedLeaseExpiryMs(machineId: String): Long {
         val lastRenewalMs = machines[machineId]?.leaseStartMs ?: term.priorLeaderUntilMs
-        return maxOf(term.priorLeaderUntilMs, lastRenewalMs) + leases.guaranteedExpiryMs
+        return maxOf(term.priorLeaderUntilMs, lastRenewalMs) + evidence.leases.guaranteedExpiryMs
     }
 }
--- a/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
+++ b/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
@@ -2,6 +2,7 @@
 
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.Scheduler
+import io.otterknot.scheduling.StartReason
 import io.otterknot.wire.Heartbeat
 import io.otterknot.wire.HeartbeatCommand
 import io.otterknot.wire.MachineType
@@ -49,7 +50,7 @@
         // The lease expired although heartbeats kept arriving, so the responses to them were lost.
         val hasKeptReporting = now - machine.lastHeartbeatMs < leases.leaseMs / 2
         if (isKnown && hasKeptReporting) machine.responsesLost(LOST_RESPONSES_PER_LEASE_EXPIRY)
-        state.attempts.releaseAll(machine)
+        state.attempts.giveUpAll(machine, StartReason.NEW_EPOCH)
         machine.epochStarted(epoch)
     }
 
@@ -73,6 +74,7 @@
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.acceptsTasks)
         if (machine.losesResponses) probe(machine, now) else scheduler.placeOn(machine, now)
         commandIssuer.issueDue(machine, now, commands)
+        state.decisions.responded(machine, commands)
         return commands
     }
 
--- a/src/main/kotlin/io/otterknot/partition/HeartbeatReconciler.kt
+++ b/src/main/kotlin/io/otterknot/partition/HeartbeatReconciler.kt
@@ -4,25 +4,23 @@
 import io.otterknot.scheduling.AttemptPhase
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
+import io.otterknot.scheduling.StartReason
 import io.otterknot.wire.HeartbeatCommand
 import io.otterknot.wire.TaskName
 import io.otterknot.wire.TaskState
 import io.otterknot.wire.TaskStatus
-import org.slf4j.LoggerFactory
 
 /**
  * Reconciles the attempts booked on a machine with those in its heartbeat. A heartbeat shows whether the commands of
  * the previous response were executed, since a worker has one heartbeat in flight and drops late responses.
  */
 class HeartbeatReconciler(
-    private val zone: String,
+    private val decisions: DecisionLog,
     private val attempts: AttemptLedger,
     private val jobs: PartitionJobs,
     private val exits: ExitReconciler,
     private val fetchTimes: FetchTimes,
 ) {
-    private val log = LoggerFactory.getLogger(HeartbeatReconciler::class.java)
-
     /**
      * Applies the status of one task in a heartbeat. Returns the command to respond with, or null if none is needed.
      */
@@ -56,13 +54,7 @@
         // A late heartbeat may show a task that has been requeued here since and is being reassigned to another
         // partition: if it were adopted, it would run in both partitions.
         if (job.isUnassigned(task)) return attempts.adopt(machine, job, task, status.attempt, now)
-        log.warn(
-            "partition={} machine={} task={} attempt={} attempt rejected, task may not run in this partition",
-            zone,
-            machine.id,
-            status.task,
-            status.attempt,
-        )
+        decisions.rejected(machine, status)
         return null
     }
 
@@ -90,7 +82,7 @@
             val isShown = attempt.lastShownSequence == machine.lastSequence
             if (isShown || attempt.phase == AttemptPhase.BOOKED) continue
             if (attempt.phase == AttemptPhase.SENT) isResponseLost = true
-            attempts.releaseAndRequeue(attempt)
+            attempts.giveUp(attempt, StartReason.ABSENT_FROM_HEARTBEAT)
         }
         if (isResponseLost) machine.responsesLost(1)
     }
--- a/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
+++ b/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
@@ -1,13 +1,13 @@
 package io.otterknot.partition
 
 import io.otterknot.scheduling.Machine
+import io.otterknot.scheduling.StartReason
 import org.slf4j.LoggerFactory
 
 /** Takes machines whose lease has expired out of service, and releases their attempts once that is certain. */
 class MachineLifecycle(
     private val zone: String,
-    private val leases: LeaseTimings,
-    private val confirmation: LeadershipConfirmation,
+    private val evidence: LeaderEvidence,
     private val state: PartitionState,
     private val stragglers: StragglerDetector,
 ) {
@@ -28,7 +28,7 @@
 
     /** When the lease of [machine] will certainly have expired, unless this leader renews it again. */
     private fun guaranteedLeaseExpiryMs(machine: Machine): Long =
-        maxOf(machine.leaseStartMs, machine.lastHeartbeatMs) + leases.guaranteedExpiryMs
+        maxOf(machine.leaseStartMs, machine.lastHeartbeatMs) + evidence.leases.guaranteedExpiryMs
 
     private fun expireLease(machine: Machine) {
         log.info("partition={} machine={} attempts={} lease expired", zone, machine.id, machine.attempts.size)
@@ -43,11 +43,11 @@
     private fun releaseAttemptsIfConfirmed(machine: Machine) {
         val withUnknownTasks = state.unknownUsage.withUnknownTasks
         if (machine.attempts.isEmpty() && machine.id !in withUnknownTasks) return
-        if (confirmation.confirmedMs <= guaranteedLeaseExpiryMs(machine)) {
-            confirmation.request()
+        if (evidence.confirmation.confirmedMs <= guaranteedLeaseExpiryMs(machine)) {
+            evidence.confirmation.request()
             return
         }
         withUnknownTasks.remove(machine.id)
-        state.attempts.releaseAll(machine)
+        state.attempts.giveUpAll(machine, StartReason.LEASE_EXPIRED)
     }
 }
--- a/src/main/kotlin/io/otterknot/partition/MachineRemovals.kt
+++ b/src/main/kotlin/io/otterknot/partition/MachineRemovals.kt
@@ -1,6 +1,7 @@
 package io.otterknot.partition
 
 import io.otterknot.scheduling.Machine
+import io.otterknot.scheduling.StartReason
 
 /**
  * Removes machines that no longer exist. Their attempts are released, and an unreconciled machine counts as reconciled,
@@ -64,7 +65,7 @@
         if (hasReportedSince && !removal.isReleased) return
         state.unknownUsage.forget(id)
         if (machine != null) {
-            state.attempts.releaseAll(machine)
+            state.attempts.giveUpAll(machine, StartReason.MACHINE_GONE)
             state.machines.remove(machine)
         }
         if (removal.isReleased) state.machines.rejectFurtherHeartbeats(id)
--- a/src/main/kotlin/io/otterknot/partition/Partition.kt
+++ b/src/main/kotlin/io/otterknot/partition/Partition.kt
@@ -25,12 +25,12 @@
  */
 class Partition(
     private val term: LeadershipTerm,
-    leases: LeaseTimings,
-    confirmation: LeadershipConfirmation,
+    evidence: LeaderEvidence,
     scheduling: SchedulingInputs,
     machineTypes: (name: String) -> MachineType?,
     teamQuotas: List<TeamQuota>,
     registeredMachines: Map<String, String>,
+    monitoring: PartitionMonitoring,
 ) {
     val zone: String get() = term.zone
     val fencingToken: Long get() = term.fencingToken
@@ -49,23 +49,24 @@
     }
     private val unknownUsage = UnknownUsage(registeredMachines, machineTypes)
     private val teams = TeamQuotaLedger(teamQuotas, unknownUsage)
-    private val attempts = AttemptLedger(fencingToken, teams, waitingWork, trigger)
+    private val decisions = DecisionLog(term, monitoring.count)
+    private val attempts = AttemptLedger(fencingToken, teams, waitingWork, trigger, decisions, monitoring.invariants)
     private val partitionJobs = PartitionJobs(zone, attempts, teams, waitingWork, trigger)
     private val partitionMachines = PartitionMachines(registeredMachines.keys, imageCounts)
     private val health = MachineHealth(partitionMachines, unknownUsage.unreconciled)
-    private val state = PartitionState(partitionMachines, attempts, unknownUsage, health)
+    private val state = PartitionState(partitionMachines, attempts, unknownUsage, health, decisions)
     private val reconciliation =
-        FailoverReconciliation(term, leases, confirmation, unknownUsage.unreconciled, partitionMachines, partitionJobs)
+        FailoverReconciliation(term, evidence, unknownUsage.unreconciled, partitionMachines, partitionJobs)
     private val placement = PartitionPlacement(partitionMachines, partitionJobs, attempts, teams)
     private val scheduler: Scheduler =
         Scheduler(placement, scheduling.objectives, scheduling.wallTimeOf, scheduling.random)
     private val stragglers = StragglerDetector(zone)
-    private val lifecycle = MachineLifecycle(zone, leases, confirmation, state, stragglers)
-    private val removals = MachineRemovals(confirmation, state)
+    private val lifecycle = MachineLifecycle(zone, evidence, state, stragglers)
+    private val removals = MachineRemovals(evidence.confirmation, state)
     private val reconciler =
-        HeartbeatReconciler(zone, attempts, partitionJobs, ExitReconciler(zone, attempts, stragglers), fetchTimes)
+        HeartbeatReconciler(decisions, attempts, partitionJobs, ExitReconciler(zone, attempts, stragglers), fetchTimes)
     private val heartbeats =
-        HeartbeatProcessor(term, leases, machineTypes, state, reconciliation, reconciler, scheduler)
+        HeartbeatProcessor(term, evidence.leases, machineTypes, state, reconciliation, reconciler, scheduler)
 
     /** Registration, release and health of the machines. */
     val fleet = PartitionFleet(state, removals, reconciliation, trigger)
--- a/src/main/kotlin/io/otterknot/partition/PartitionJobs.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionJobs.kt
@@ -4,6 +4,7 @@
 import io.otterknot.records.JobRecord
 import io.otterknot.scheduling.AttemptPhase
 import io.otterknot.scheduling.PartitionJob
+import io.otterknot.scheduling.StartReason
 import java.util.BitSet
 
 /** The jobs that have tasks in a partition, according to the store replica, and which of these tasks may start. */
@@ -56,12 +57,17 @@
         val removed = (partitionJob.owned.clone() as BitSet).apply { andNot(owned) }
         partitionJob.owned.clear()
         partitionJob.owned.or(owned)
-        if (isUnreconciled) partitionJob.unreconciledTasks.or(added) else partitionJob.pending.or(added)
-        partitionJob.pending.andNot(removed)
+        partitionJob.pending.remove(removed)
         partitionJob.unreconciledTasks.andNot(removed)
         partitionJob.beingReassigned.andNot(removed)
         waitingWork.markChanged(partitionJob)
-        if (!added.isEmpty) trigger.requestFullPass()
+        if (added.isEmpty) return
+        if (isUnreconciled) {
+            partitionJob.unreconciledTasks.or(added)
+            trigger.requestFullPass()
+        } else {
+            attempts.makePending(partitionJob, added, StartReason.NEVER_STARTED)
+        }
     }
 
     /** Removes [job], which has ended: none of its tasks is started any more, and its attempts are stopped. */
@@ -84,14 +90,8 @@
         val taskCores = job.spec.cores
         var remaining = job.pendingCount
         if (taskCores > 0) remaining = minOf(cores / taskCores, remaining.toDouble()).toInt()
-        val reserved = BitSet()
-        var task = job.pending.length() - 1
-        while (task >= 0 && remaining > 0) {
-            reserved.set(task)
-            remaining--
-            task = job.pending.previousSetBit(task - 1)
-        }
-        job.pending.andNot(reserved)
+        val reserved = job.pending.last(remaining)
+        job.pending.remove(reserved)
         job.beingReassigned.or(reserved)
         waitingWork.markChanged(job)
         return reserved
@@ -108,16 +108,14 @@
         }
         job.beingReassigned.andNot(tasks)
         if (job.finished || stillOwned.isEmpty) return
-        job.pending.or(stillOwned)
-        waitingWork.markChanged(job)
-        trigger.requestFullPass()
+        attempts.makePending(job, stillOwned, StartReason.NOT_REASSIGNED)
     }
 
     /** Applies the completions of [job] that have become durable. */
     fun applyCompletions(job: Job) {
         val partitionJob = get(job.id) ?: return
         partitionJob.unrecordedCompletions.andNot(job.completedTasks)
-        partitionJob.pending.andNot(job.completedTasks)
+        partitionJob.pending.remove(job.completedTasks)
         partitionJob.unreconciledTasks.andNot(job.completedTasks)
         waitingWork.markChanged(partitionJob)
     }
@@ -127,10 +125,10 @@
         var count = 0
         for (job in all) {
             job.unreconciledTasks.andNot(job.job.completedTasks)
-            count += job.unreconciledTasks.cardinality()
-            job.pending.or(job.unreconciledTasks)
+            val reconciled = job.unreconciledTasks.clone() as BitSet
             job.unreconciledTasks.clear()
-            waitingWork.markChanged(job)
+            attempts.makePending(job, reconciled, StartReason.RECONCILED)
+            count += reconciled.cardinality()
         }
         trigger.requestFullPass()
         return count
--- a/src/main/kotlin/io/otterknot/partition/PartitionState.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionState.kt
@@ -6,4 +6,5 @@
     val attempts: AttemptLedger,
     val unknownUsage: UnknownUsage,
     val health: MachineHealth,
+    val decisions: DecisionLog,
 )
--- a/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
@@ -38,8 +38,8 @@
 
     val owned = BitSet()
 
-    /** Tasks that may be started now. */
-    val pending = BitSet()
+    /** Tasks that may be started now. Only [makePending] adds any. */
+    val pending = PendingTasks()
 
     /** Unreconciled tasks: a machine that has not yet reported this leader's fencing token may run them. */
     val unreconciledTasks = BitSet()
@@ -59,7 +59,7 @@
     /** Tasks that were stopped and restarted once as stragglers. */
     val restarted = BitSet()
 
-    val pendingCount: Int get() = pending.cardinality()
+    val pendingCount: Int get() = pending.count
 
     /** The cores requested by the pending and the unreconciled tasks. */
     val pendingCores: Double get() = (pendingCount + unreconciledTasks.cardinality()) * spec.cores
@@ -160,6 +160,20 @@
         remainingCoreSeconds = (spec.tasks - job.completedTasks.cardinality()) * spec.cores * spec.estimateS
     }
 
+    /**
+     * Makes [tasks] pending: no worker runs an attempt of any of them, for [reason]. Returns those that are refused
+     * because by the state of this job a worker or another partition may have them.
+     */
+    fun makePending(tasks: BitSet, reason: StartReason): BitSet {
+        val refused = (tasks.clone() as BitSet).apply { andNot(owned) }
+        for (held in listOf(unreconciledTasks, beingReassigned)) {
+            refused.or((tasks.clone() as BitSet).apply { and(held) })
+        }
+        for (task in active.keys) if (tasks.get(task)) refused.set(task)
+        pending.add((tasks.clone() as BitSet).apply { andNot(refused) }, reason)
+        return refused
+    }
+
     /**
      * Whether [task] belongs to this partition and is neither completed nor being reassigned nor known to be on a
      * machine. Such a task is pending unless it is unreconciled.
--- a/src/test/kotlin/io/otterknot/jobs/DependencyGraphTest.kt
+++ b/src/test/kotlin/io/otterknot/jobs/DependencyGraphTest.kt
@@ -238,7 +238,7 @@
             listOf(0 to 2, 2 to 0),
             listOf(2, 4)
                 .map { partition.job(id(it))!! }
-                .map { it.pending.cardinality() to it.unreconciledTasks.cardinality() },
+                .map { it.pending.count to it.unreconciledTasks.cardinality() },
         )
     }
 
--- a/src/test/kotlin/io/otterknot/partition/PartitionTest.kt
+++ b/src/test/kotlin/io/otterknot/partition/PartitionTest.kt
@@ -67,7 +67,7 @@
         // A delayed heartbeat shows one of the tasks on a machine whose lease has expired since it was sent.
         partition.heartbeat("m3", TOKEN, 20, runningTask("j-000001/5"))
         partition.heartbeat("m3", TOKEN, 30, epoch = 2, sequence = 1)
-        assertFalse(partitionJob.pending.get(5))
+        assertFalse(5 in partitionJob.pending)
         assertFalse(partitionJob.active.containsKey(5))
         partition.completeReassignment(partitionJob, reserved)
         assertEquals(4, partitionJob.pendingCount)
--- a/src/test/kotlin/io/otterknot/scheduling/SchedulingQueueTest.kt
+++ b/src/test/kotlin/io/otterknot/scheduling/SchedulingQueueTest.kt
@@ -41,7 +41,8 @@
     private fun pendingJob(id: String, tasks: Int, ageS: Long, jobClass: String = "k"): PartitionJob {
         val spec = jobSpec(tasks).copy(id = id, jobClass = jobClass, dueS = 70.0, estimateS = 20.0)
         val job = waitingJob(spec, (NOW_S - ageS) * 1_000)
-        job.pending.set(0, tasks)
+        job.owned.set(0, tasks)
+        job.makePending(job.owned, StartReason.NEVER_STARTED)
         return job
     }
 
--- a/src/test/kotlin/io/otterknot/testing/TestPartitions.kt
+++ b/src/test/kotlin/io/otterknot/testing/TestPartitions.kt
@@ -1,14 +1,17 @@
 package io.otterknot.testing
 
+import io.otterknot.partition.LeaderEvidence
 import io.otterknot.partition.LeadershipConfirmation
 import io.otterknot.partition.LeadershipTerm
 import io.otterknot.partition.LeaseTimings
 import io.otterknot.partition.Partition
+import io.otterknot.partition.PartitionMonitoring
 import io.otterknot.partition.SchedulingInputs
 import io.otterknot.partition.TeamQuota
 import io.otterknot.records.QuotaAmount
 import io.otterknot.scheduling.ServiceLevelObjectives
 import io.otterknot.wire.MachineType
+import org.junit.jupiter.api.fail
 import kotlin.random.Random
 
 /** A team whose quota is never reached. */
@@ -39,10 +42,10 @@
     machineTypes: (name: String) -> MachineType?,
 ) = Partition(
     LeadershipTerm(zone, fencingToken, acquiredMs = 0, priorLeaderUntilMs),
-    LeaseTimings(leaseMs = 10_000),
-    confirmation,
+    LeaderEvidence(LeaseTimings(leaseMs = 10_000), confirmation),
     SchedulingInputs(objectives, Random(1), wallTimeOf = { it }),
     machineTypes,
     teamQuotas,
     registeredMachines,
+    PartitionMonitoring(count = {}, invariants = { fail(it) }),
 )
