Soak: real controller processes under random faults, checked from outside

Three controllers, started as in deploy/service.toml, against the workers, users, cloud and state service of the simulated cluster, on loopback and in real time. Faults are drawn by seed: processes killed, paused and resumed, leaders and zones cut off, machines that hang, lose answers or reports, or are lost, late copies of reports, faults of the state service; three at a time.

--- /dev/null
+++ b/src/test/kotlin/io/otterknot/load/ControllerCommand.kt
@@ -0,0 +1,20 @@
+package io.otterknot.load
+
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** The command line in `deploy/service.toml` with which operators start a controller. */
+object ControllerCommand {
+    /**
+     * Returns the command with the settings file [settings], the additional JVM [options] and, if not null, the operator
+     * settings file [operators] in place of the deployed one.
+     */
+    fun of(settings: Path, options: List<String> = emptyList(), operators: Path? = null): List<String> {
+        val command = Files.readAllLines(Path.of("deploy/service.toml")).first { it.startsWith("run = ") }
+            .substringAfter('"').substringBeforeLast('"').split(' ')
+        val jarIndex = command.indexOf("-jar")
+        val jarArguments = command.subList(jarIndex, jarIndex + 2)
+        val operatorArguments = listOfNotNull("--operators".takeIf { operators != null }, operators?.toString())
+        return command.take(jarIndex) + options + jarArguments + operatorArguments + listOf("--config", "$settings")
+    }
+}
--- a/src/test/kotlin/io/otterknot/load/LoopbackSite.kt
+++ b/src/test/kotlin/io/otterknot/load/LoopbackSite.kt
@@ -104,14 +104,7 @@
     ): Process {
         val settingsFile = Files.createTempFile("loopback", ".toml")
         Files.writeString(settingsFile, settings(label))
-        val command = Files.readAllLines(Path.of("deploy/service.toml")).first { it.startsWith("run = ") }
-            .substringAfter('"').substringBeforeLast('"').split(' ')
-        val jarIndex = command.indexOf("-jar")
-        val jarArguments = command.subList(jarIndex, jarIndex + 2)
-        val operatorArguments = listOfNotNull("--operators".takeIf { operators != null }, operators?.toString())
-        val arguments = command.take(jarIndex) + options + jarArguments + operatorArguments +
-            listOf("--config", settingsFile.toString())
-        val builder = ProcessBuilder(arguments).inheritIO()
+        val builder = ProcessBuilder(ControllerCommand.of(settingsFile, options, operators)).inheritIO()
         if (log != null) builder.redirectError(ProcessBuilder.Redirect.appendTo(log))
         return builder.start()
     }
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/soak/SoakRun.kt
@@ -0,0 +1,170 @@
+package io.otterknot.soak
+
+import io.otterknot.net.EventLoop
+import io.otterknot.testing.CANCEL_S
+import io.otterknot.wire.JobSpec
+import io.otterknot.wire.Priority
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.nio.file.Files
+import kotlin.random.Random
+
+/** What a soak run saw. It has passed if [problems] is empty. */
+class SoakResult(
+    val seed: Long,
+    val problems: List<String>,
+    val jobs: Int,
+    val starts: Int,
+    val cancellations: Int,
+    val leaderChanges: Int,
+    val faults: List<String>,
+) {
+    override fun toString() = "seed $seed: jobs $jobs starts $starts cancellations $cancellations " +
+        "leader changes $leaderChanges faults ${faults.size} problems ${problems.size}"
+}
+
+/**
+ * One soak run: users submit, query and cancel jobs while faults overlap; then every job has to end. What is drawn from
+ * the seed is the same in each run; the timing of the processes is not.
+ */
+class SoakRun(private val scope: CoroutineScope, loop: EventLoop, private val options: SoakOptions) {
+    private val cluster = SoakCluster(scope, loop, options)
+    private val checks = cluster.checks
+    private val jobRandom = Random(options.seed * SEED_FACTOR + 1)
+    private val faults = ArrayList<String>()
+    private val problems = LinkedHashSet<String>()
+    private var leaderChanges = 0
+
+    suspend fun run(): SoakResult {
+        cluster.start()
+        val observer = scope.launch { observe() }
+        try {
+            delay(WARM_UP_MS)
+            val untilMs = cluster.nowMs() + options.faultSeconds * MS_PER_S
+            val submission = scope.launch { submitJobs() }
+            coroutineScope { repeat(FAULT_LANES) { lane -> launch { injectFaults(lane, untilMs) } } }
+            submission.cancel()
+            cluster.nodes.forEach(cluster::startNode)
+            checks.faultsClearedMs = cluster.nowMs()
+            awaitEnd(observer)
+        } finally {
+            cluster.stop()
+        }
+        return result()
+    }
+
+    /** Checks the rules and counts changes of leader until cancelled. */
+    private suspend fun observe() {
+        var leaders = cluster.leaderRecords()
+        while (true) {
+            delay(OBSERVATION_MS)
+            checks.inspect()
+            val shown = cluster.leaderRecords()
+            leaderChanges += shown.count { (zone, record) -> leaders[zone] != null && leaders[zone] != record }
+            leaders = leaders + shown
+            cluster.controllersEndedByThemselves().forEach { problems.add("controller $it ended by itself") }
+            cluster.users.pollUnknownJob("j-%06d".format(UNKNOWN_JOBS + cluster.random.nextInt(1_000)))
+        }
+    }
+
+    private suspend fun submitJobs() {
+        cluster.users.requestBursts = true
+        for (number in 1..MAX_JOBS) {
+            val cancelAfterMs = if (jobRandom.nextInt(4) == 0) jobRandom.nextLong(MAX_CANCEL_DELAY_MS) else null
+            cluster.users.startUser(drawJob(number), cancelAfterMs)
+            delay(jobRandom.nextLong(2 * MEAN_JOB_INTERVAL_MS))
+        }
+    }
+
+    private fun drawJob(number: Int): JobSpec {
+        val isUrgent = jobRandom.nextInt(3) != 0
+        return JobSpec(
+            id = "j-%06d".format(number),
+            jobClass = if (isUrgent) "urgent" else "bulk",
+            team = if (jobRandom.nextBoolean()) "red" else "blue",
+            priority = if (isUrgent) Priority.HIGH else Priority.BEST_EFFORT,
+            tasks = jobRandom.nextInt(1, MAX_TASKS),
+            cores = jobRandom.nextInt(1, 3).toDouble(),
+            memoryGb = 4.0,
+            image = "img-${jobRandom.nextInt(3)}",
+            imageGb = 0.5,
+            spot = jobRandom.nextInt(4) != 0,
+            estimateS = 1.0 + jobRandom.nextInt(MAX_RUN_S),
+            spreadAcrossZones = number % 11 == 0,
+            sameZone = number % 7 == 0,
+            zone = cluster.zones.random(jobRandom).takeIf { jobRandom.nextInt(5) == 0 },
+        )
+    }
+
+    private suspend fun injectFaults(lane: Int, untilMs: Long) {
+        val random = Random(options.seed * SEED_FACTOR + 2 + lane)
+        delay(random.nextLong(MAX_FAULT_GAP_MS))
+        while (cluster.nowMs() < untilMs) {
+            val fault = SoakFault.draw(random, options.faultName)
+            val startedMs = cluster.nowMs()
+            fault.inject(cluster, random)
+            faults.add("$startedMs to ${cluster.nowMs()} ${fault.name}")
+            delay(random.nextLong(MAX_FAULT_GAP_MS))
+        }
+    }
+
+    /** Waits until all jobs have ended and the tasks of cancelled jobs must be gone. */
+    private suspend fun awaitEnd(observer: Job) {
+        val untilMs = cluster.nowMs() + MAX_END_MS
+        while (!checks.allTerminal() && cluster.nowMs() < untilMs) delay(OBSERVATION_MS)
+        problems.addAll(checks.nonTerminalJobs().map { "$it did not end within ${MAX_END_MS / MS_PER_S} s" })
+        delay((checks.faultsClearedMs + (CANCEL_S * MS_PER_S).toLong() - cluster.nowMs()).coerceAtLeast(0))
+        observer.cancel()
+    }
+
+    private fun result(): SoakResult {
+        problems.addAll(checks.violations)
+        problems.addAll(cluster.errorLines().map { "error line: $it" })
+        val cancellations = checks.specs.keys.count(checks::isCancelled)
+        if (checks.starts == 0) problems.add("nothing_ran: no task was started")
+        if (cancellations == 0) problems.add("no job was cancelled")
+        if (leaderChanges == 0) problems.add("no partition changed its leader")
+        if (faults.isEmpty()) problems.add("no fault was injected")
+        val result =
+            SoakResult(
+                options.seed,
+                problems.toList(),
+                checks.specs.size,
+                checks.starts,
+                cancellations,
+                leaderChanges,
+                faults,
+            )
+        write(result)
+        return result
+    }
+
+    private fun write(result: SoakResult) {
+        val tasks = result.problems.flatMap { TASK_NAME.findAll(it).map(MatchResult::value) }.distinct()
+        val lines = listOf("$result", "", "problems") + result.problems + listOf("", "faults, ms") + faults +
+            tasks.flatMap { listOf("", "events of $it, ms") + cluster.trace(it) }
+        Files.write(options.directory.resolve("result.txt"), lines)
+    }
+
+    private companion object {
+        const val MS_PER_S = 1_000L
+        const val SEED_FACTOR = 1_000L
+        const val WARM_UP_MS = 6_000L
+        const val OBSERVATION_MS = 250L
+        const val FAULT_LANES = 3
+        const val MAX_FAULT_GAP_MS = 3_000L
+        const val MEAN_JOB_INTERVAL_MS = 600L
+        const val MAX_CANCEL_DELAY_MS = 12_000L
+        const val MAX_JOBS = 10_000
+        const val MAX_TASKS = 7
+        const val MAX_RUN_S = 30
+        const val MAX_END_MS = 180_000L
+
+        /** Job numbers from here on are never submitted. */
+        const val UNKNOWN_JOBS = 900_000
+        val TASK_NAME = Regex("""j-\d{6}/\d+""")
+    }
+}
--- a/src/test/kotlin/io/otterknot/testing/RandomFault.kt
+++ b/src/test/kotlin/io/otterknot/testing/RandomFault.kt
@@ -4,7 +4,7 @@
 import kotlin.random.Random
 
 /** A fault whose duration and strength are drawn from a [Random]; [inject] returns when the fault is over. */
-class RandomFault(val name: String, val inject: suspend SimulatedCluster.(Random) -> Unit) {
+class RandomFault(val name: String, val inject: suspend FaultTarget.(Random) -> Unit) {
     companion object {
         /** Calls [set], and [reset] after a random delay of 3 to 18 s. */
         private suspend fun temporarily(random: Random, set: () -> Unit, reset: () -> Unit) {
--- a/src/test/kotlin/io/otterknot/testing/SafetyChecks.kt
+++ b/src/test/kotlin/io/otterknot/testing/SafetyChecks.kt
@@ -26,7 +26,7 @@
     private val nowMs: () -> Long,
     /** The most cores that each team may use; 0: no limit. */
     private val coreLimits: Map<String, Double>,
-    private val workers: () -> Collection<SimulatedWorker>,
+    private val workers: () -> Collection<ObservedMachine>,
 ) {
     val violations = ArrayList<String>()
 
@@ -165,7 +165,7 @@
         specs[id]?.let { spec -> (0 until spec.tasks).all { "$id/$it" in completedTasks } } ?: false
 
     /** Called when task [name] starts on [worker]. */
-    fun onTaskStart(worker: SimulatedWorker, name: String, spec: JobSpec) {
+    fun onTaskStart(worker: ObservedMachine, name: String, spec: JobSpec) {
         starts++
         taskStartedMs.putIfAbsent(name, nowMs())
         checkTiming(name, spec)
@@ -190,7 +190,7 @@
         if (nowMs() - cancelledMs > CANCEL_MS) violations.add("ran_cancelled: $name starts")
     }
 
-    private fun checkPlacement(worker: SimulatedWorker, name: String, spec: JobSpec) {
+    private fun checkPlacement(worker: ObservedMachine, name: String, spec: JobSpec) {
         val elsewhere = workers().filter { it !== worker && name in it.runningTasks() }
         if (elsewhere.isNotEmpty()) violations.add("ran_twice: $name on ${worker.id} and ${elsewhere.map { it.id }}")
         if (worker.spot && !spec.spot) violations.add("wrong_place: $name on spot machine ${worker.id}")
@@ -255,7 +255,7 @@
             workers().any { it.isHealthy && it.freeCores >= spec.cores && satisfiesPlacement(spec, it) }
     }
 
-    private fun satisfiesPlacement(spec: JobSpec, worker: SimulatedWorker): Boolean {
+    private fun satisfiesPlacement(spec: JobSpec, worker: ObservedMachine): Boolean {
         if ((worker.spot && !spec.spot) || (spec.zone != null && spec.zone != worker.zone)) return false
         val zones = workers().flatMap { other ->
             other.activeTasks().filter { it.startsWith("${spec.id}/") }.map { other.zone }
--- a/src/test/kotlin/io/otterknot/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedCluster.kt
@@ -37,9 +37,9 @@
  * its functions and properties.
  */
 class SimulatedCluster(
-    val scope: CoroutineScope,
+    override val scope: CoroutineScope,
     seed: Long,
-    val nowMs: () -> Long,
+    override val nowMs: () -> Long,
     teamLimit: Double = 0.0,
     /** How many machines of each kind (spot or not) the cloud has in a zone. */
     capacity: Int = 4,
@@ -48,15 +48,15 @@
     /** The operator settings of all controllers; they can be changed while the controllers run. */
     var operators: OperatorSettings = OperatorSettings(),
     private val teams: List<TeamSettings> = listOf(TeamSettings("red", cpusMax = teamLimit), TeamSettings("blue")),
-) {
-    val random = Random(seed)
-    val zones = listOf("a", "b", "c")
-    val nodes = zones.map { "holt-$it" }
-    val state = FakeKeyValueStore(scope, random, nowMs)
+) : FaultTarget {
+    override val random = Random(seed)
+    override val zones = listOf("a", "b", "c")
+    override val nodes = zones.map { "holt-$it" }
+    override val state = FakeKeyValueStore(scope, random, nowMs)
     private val limits = teams.associate { it.name to it.cpusMax }
     private val cloud: FakeCloud =
         FakeCloud(zones, capacity, nowMs) { id, zone, spot -> SimulatedWorker(this, id, zone, spot) }
-    val checks = SafetyChecks(nowMs, limits) { cloud.workers }
+    override val checks = SafetyChecks(nowMs, limits) { cloud.workers }
     private val users = SimulatedUsers(scope, random, nowMs, nodes, checks, ::sendRequest)
     private val nodeJobs = HashMap<String, Job>()
 
@@ -69,20 +69,14 @@
 
     // ---- faults and other conditions
 
-    /** Share of worker reports whose answer is lost. */
-    var lostReportAnswerShare = 0.0
-
-    /** The longest random delay of an answer to a worker. */
-    var maxAnswerDelayMs = 0L
-
-    /** Share of worker reports that arrive a second time, 1 s to 2.5 leases late, at the same or a random node. */
-    var duplicateReportShare = 0.0
+    override var lostReportAnswerShare = 0.0
+    override var maxAnswerDelayMs = 0L
+    override var duplicateReportShare = 0.0
 
     /** Nodes whose traffic with workers is held back until they are removed from this set. */
     val nodesCutFromWorkers = HashSet<String>()
 
-    /** Nodes that have no connection to other controllers, in either direction. */
-    val nodesWithoutPeers = HashSet<String>()
+    override val nodesWithoutPeers = HashSet<String>()
 
     /** The zone whose node and machines reach nothing outside the zone, or null. */
     private var isolatedZone: String? = null
@@ -93,12 +87,13 @@
     /** Nodes that access stored data as the version in production does: see [ProductionVersionTransport]. */
     val previousVersionNodes = HashSet<String>()
 
-    /** Run times in seconds of tasks that differ from the estimate of their job, by task name. */
-    val taskRunS = HashMap<String, Double>()
+    override val taskRunS = HashMap<String, Double>()
 
     /** Called when the last task of a job completes on its machine. */
     var onJobCompleted: (JobSpec) -> Unit = {}
 
+    override fun jobCompleted(spec: JobSpec) = onJobCompleted(spec)
+
     var cloudUnavailable: Boolean by cloud::unavailable
 
     /** Isolates [zone] from everything outside it; null reconnects the isolated zone. */
@@ -109,13 +104,12 @@
         isolatedZone = zone
     }
 
-    /** Whether traffic between the machines of [zone] and [node] is held back. */
-    fun isHeldBack(zone: String, node: String): Boolean =
+    override fun isHeldBack(zone: String, node: String): Boolean =
         node in nodesCutFromWorkers || (zone == isolatedZone) != (node == "holt-$isolatedZone")
 
     // ---- controllers
 
-    fun startNode(label: String) {
+    override fun startNode(label: String) {
         if (label in nodeJobs) return
         val settings = settings(label)
         val link =
@@ -178,7 +172,7 @@
     /** The number of moves of [kind] that have ended in [state], at the controllers that run now. */
     fun moveEnds(kind: MoveKind, state: MoveState): Int = controllers.values.sumOf { it.moveEnds()[kind to state] ?: 0 }
 
-    fun crash(label: String) {
+    override fun crash(label: String) {
         nodeJobs.remove(label)?.cancel()
         controllers.remove(label)
     }
@@ -189,7 +183,7 @@
     }
 
     /** Sends a request to a node; returns null if it is down, crashes meanwhile or takes longer than [limitMs]. */
-    suspend fun sendRequest(
+    override suspend fun sendRequest(
         label: String,
         method: String,
         path: String,
@@ -203,19 +197,17 @@
         return answer.takeIf { controllers[label] === controller }
     }
 
-    /** The leader of each partition that has one, as stored in the state service. */
-    fun partitionLeaders(): Map<String, String> = zones.mapNotNull { zone ->
+    override fun partitionLeaders(): Map<String, String> = zones.mapNotNull { zone ->
         state.value(StoreKeys.partition(zone))?.let { zone to decodeRecord(LeaderRecord.serializer(), it).leader }
     }.toMap()
 
     // ---- machines
 
-    fun machines(): List<SimulatedWorker> = cloud.workers.toList()
+    override fun machines(): List<SimulatedWorker> = cloud.workers.toList()
 
     fun boot(zone: String, spot: Boolean): SimulatedWorker = cloud.boot(zone, spot)
 
-    /** The cloud terminates a machine without notice. */
-    fun reclaim(worker: SimulatedWorker) = cloud.reclaim(worker.id)
+    override fun reclaim(worker: SimulatedWorker) = cloud.reclaim(worker.id)
 
     // ---- users
 
@@ -260,13 +252,7 @@
     fun submitAgain(spec: JobSpec) = users.submitAgain(spec)
 
     /** Users cancel up to [count] running jobs at the same time and retry until a node confirms it. */
-    fun cancelRunning(count: Int): List<JobSpec> {
-        val running = cloud.workers.flatMap { it.runningTasks().values }.map { it.job }.distinct()
-        val chosen = running
-            .filter { checks.lastReportedState(it) != JobState.DONE && it !in checks.cancellationRequested }
-            .take(count)
-        return chosen.map { id -> checks.spec(id).also { cancel(it) } }
-    }
+    fun cancelRunning(count: Int): List<JobSpec> = users.cancelRunning(count, machines())
 
     suspend fun runLoadBalancer() = users.runLoadBalancer()
 
@@ -283,7 +269,12 @@
     val starts: Int get() = checks.starts
     val startsAfterCancel: Int get() = checks.startsAfterCancel
 
-    fun inspect() = checks.inspect()
+    fun inspect() {
+        checks.inspect()
+        for ((node, controller) in controllers) {
+            if (controller.invariantViolations() > 0) violations.add("$node found a violated invariant")
+        }
+    }
 
     fun faultsCleared() {
         checks.faultsClearedMs = nowMs()
--- a/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
@@ -130,6 +130,15 @@
         }
     }
 
+    /** Cancels up to [count] jobs that run on [workers]. Returns these jobs. */
+    fun cancelRunning(count: Int, workers: List<SimulatedWorker>): List<JobSpec> {
+        val running = workers.flatMap { it.runningTasks().values }.map { it.job }.distinct()
+        val chosen = running
+            .filter { checks.lastReportedState(it) != JobState.DONE && it !in checks.cancellationRequested }
+            .take(count)
+        return chosen.map { id -> checks.spec(id).also { cancel(it) } }
+    }
+
     fun poll(spec: JobSpec) = scope.launch { requestOnce(spec, "GET", path(spec), ByteArray(0)) }
 
     fun submitAgain(spec: JobSpec) = scope.launch { requestOnce(spec, "POST", "/submissions", submissionBody(spec)) }
--- a/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
@@ -17,7 +17,12 @@
 class SimulatedTask(val job: String, val attempt: Long)
 
 /** The worker of one machine: it sends reports, keeps its lease, and executes the commands in the answers. */
-class SimulatedWorker(private val cluster: SimulatedCluster, val id: String, val zone: String, val spot: Boolean) {
+class SimulatedWorker(
+    private val cluster: WorkerEnvironment,
+    override val id: String,
+    override val zone: String,
+    override val spot: Boolean,
+) : ObservedMachine {
     private class Task(
         val job: String,
         val attempt: Long,
@@ -54,11 +59,16 @@
     /** Nodes that this worker alone cannot reach: its reports to them are held back until the node is removed. */
     val unreachableNodes = HashSet<String>()
 
-    /** Whether it can run waiting tasks: it is not affected by a fault and was booted more than 10 s ago. */
-    val isHealthy: Boolean get() = nowMs() > hungUntilMs && !inboundBlocked && !outboundBlocked && !failsTasks &&
-        unreachableNodes.isEmpty() && nowMs() - bootedMs > 10_000
+    override val isHealthy: Boolean
+        get() = nowMs() > hungUntilMs &&
+            !inboundBlocked &&
+            !outboundBlocked &&
+            !failsTasks &&
+            unreachableNodes.isEmpty() &&
+            nowMs() - bootedMs > 10_000
 
-    val freeCores: Double get() = CORES - tasks.values.filterNot { it.isTerminal }.sumOf { checks.spec(it.job).cores }
+    override val freeCores: Double get() = CORES -
+        tasks.values.filterNot { it.isTerminal }.sumOf { checks.spec(it.job).cores }
 
     private val loop = cluster.scope.launch {
         delay(1_000 + random.nextLong(4_000))
@@ -71,28 +81,30 @@
     }
 
     fun terminate() {
+        tasks.keys.forEach { trace(it, "ends with its machine") }
         tasks.clear()
         loop.cancel()
     }
 
-    /** The tasks that run on this machine, by name: their image is fetched and they have not exited. */
-    fun runningTasks(): Map<String, SimulatedTask> {
+    override fun runningTasks(): Map<String, SimulatedTask> {
         expire()
         return tasks.filterValues { it.state == TaskState.RUNNING }.entries
             .associate { (key, task) -> name(key) to SimulatedTask(task.job, task.attempt) }
     }
 
-    /** The names of the tasks that have not exited, also those that still fetch their image. */
-    fun activeTasks(): Set<String> {
+    override fun activeTasks(): Set<String> {
         expire()
         return tasks.filterValues { !it.isTerminal }.keys.mapTo(HashSet(), ::name)
     }
 
+    private fun trace(key: String, event: String) = cluster.taskEvent(this, key, event)
+
     private fun name(key: String) = key.substringBeforeLast('#')
 
     /** Ends all tasks if the lease has expired; this also applies while the machine hangs. */
     private fun expire() {
         if (nowMs() - leaseRenewedMs <= LEASE_S * 1000) return
+        tasks.keys.forEach { trace(it, "killed by the lease") }
         tasks.clear()
         epoch++
         leaseRenewedMs = nowMs()
@@ -109,13 +121,15 @@
     private fun advance(name: String, task: Task) {
         val spec = checks.spec(task.job)
         if (task.state == TaskState.FETCHING) {
+            trace("$name#${task.attempt}", "starts")
             checks.onTaskStart(this, name, spec)
             task.state = TaskState.RUNNING
             task.phaseEndsMs = nowMs() + ((cluster.taskRunS[name] ?: spec.estimateS) * 1000).toLong()
         } else if (task.state == TaskState.RUNNING) {
             task.state = TaskState.EXITED
             task.cause = ExitCause.DONE
-            if (checks.onTaskCompleted(name, spec)) cluster.onJobCompleted(spec)
+            trace("$name#${task.attempt}", "completes")
+            if (checks.onTaskCompleted(name, spec)) cluster.jobCompleted(spec)
         }
     }
 
@@ -205,9 +219,13 @@
         val key = "${command.task}#${command.attempt}"
         val task = tasks[key]
         when (command.op) {
-            CommandOperation.START -> if (task == null) tasks[key] = start(command)
+            CommandOperation.START -> if (task == null) {
+                trace(key, "is sent under token $token")
+                tasks[key] = start(command)
+            }
 
             CommandOperation.HALT -> if (task != null && !task.isTerminal) {
+                trace(key, "is halted under token $token")
                 task.state = TaskState.EXITED
                 task.cause = ExitCause.STOPPED
             }
