--- a/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
+++ b/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
@@ -77,15 +77,21 @@
     /** Makes [task] pending again if it still belongs to this partition and is not assigned to a machine. */
     fun requeue(job: PartitionJob, task: Int, reason: StartReason) {
         if (job.finished || !job.isUnassigned(task)) return
-        makePending(job, BitSet().apply { set(task) }, reason)
+        if (!job.makePending(task, reason)) reportRefused(job, "$task", reason)
+        pendingTasksAdded(job)
     }
 
-    /** Makes [tasks] of [job] pending; the only way to do so. [reason] is why no worker runs any of them. */
+    /** Makes [tasks] of [job] pending. [reason] is why no worker runs any of them. */
     fun makePending(job: PartitionJob, tasks: BitSet, reason: StartReason) {
         val refused = job.makePending(tasks, reason)
-        if (!refused.isEmpty) {
-            invariants.violated("${job.id} tasks $refused not pending although ${reason.logName}: not certainly ended")
-        }
+        if (!refused.isEmpty) reportRefused(job, "$refused", reason)
+        pendingTasksAdded(job)
+    }
+
+    private fun reportRefused(job: PartitionJob, tasks: String, reason: StartReason) =
+        invariants.violated("${job.id}/$tasks not pending although ${reason.logName}: may still be elsewhere")
+
+    private fun pendingTasksAdded(job: PartitionJob) {
         waitingWork.markChanged(job)
         trigger.requestFullPass()
     }
--- a/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
@@ -165,15 +165,29 @@
      * because by the state of this job a worker or another partition may have them.
      */
     fun makePending(tasks: BitSet, reason: StartReason): BitSet {
-        val refused = (tasks.clone() as BitSet).apply { andNot(owned) }
-        for (held in listOf(unreconciledTasks, beingReassigned)) {
-            refused.or((tasks.clone() as BitSet).apply { and(held) })
+        val refused = BitSet()
+        var task = tasks.nextSetBit(0)
+        while (task >= 0) {
+            if (mayBeElsewhere(task)) refused.set(task)
+            task = tasks.nextSetBit(task + 1)
         }
-        for (task in active.keys) if (tasks.get(task)) refused.set(task)
         pending.add((tasks.clone() as BitSet).apply { andNot(refused) }, reason)
         return refused
     }
 
+    /** Like [makePending] for several tasks. Returns whether [task] was not refused. */
+    fun makePending(task: Int, reason: StartReason): Boolean {
+        if (mayBeElsewhere(task)) return false
+        pending.add(task, reason)
+        return true
+    }
+
+    /** Whether a worker or another partition may have [task]. */
+    private fun mayBeElsewhere(task: Int): Boolean = !owned.get(task) ||
+        unreconciledTasks.get(task) ||
+        beingReassigned.get(task) ||
+        active.containsKey(task)
+
     /**
      * Whether [task] belongs to this partition and is neither completed nor being reassigned nor known to be on a
      * machine. Such a task is pending unless it is unreconciled.
--- a/src/main/kotlin/io/otterknot/scheduling/PendingTasks.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/PendingTasks.kt
@@ -30,6 +30,13 @@
         return last
     }
 
+    /** Adds [task]; only [PartitionJob.makePending] calls this. */
+    fun add(task: Int, reason: StartReason) {
+        remove(task)
+        tasks.set(task)
+        byReason.getOrPut(reason) { BitSet() }.set(task)
+    }
+
     /** Adds [added]; only [PartitionJob.makePending] calls this. */
     fun add(added: BitSet, reason: StartReason) {
         remove(added)
--- a/src/test/kotlin/io/otterknot/partition/FailoverReconciliationTest.kt
+++ b/src/test/kotlin/io/otterknot/partition/FailoverReconciliationTest.kt
@@ -1,5 +1,6 @@
 package io.otterknot.partition
 
+import io.otterknot.wire.Heartbeat
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -128,6 +129,19 @@
         assertTrue(startedAt in 14_000..21_500, "$startedAt")
     }
 
+    @Test
+    fun `a machine of an unknown type keeps its tasks while responses renew its lease`() {
+        val partition = partition(listOf("m1", "unknown"))
+        partition.updateJob(job(1, 1), inherited = true)
+        for (now in 100L..15_000L step 800) {
+            val shown = listOf(runningTask("j-000001/0"))
+            val heartbeat = Heartbeat("unknown", "", UNKNOWN_TYPE, "a", false, 1, now, TOKEN, null, shown)
+            assertEquals(HeartbeatDecision.Answer(TOKEN, emptyList()), partition.applyHeartbeat(heartbeat, now))
+            partition.sweep(now)
+            assertTrue(partition.heartbeat("m1", TOKEN, now).starts().isEmpty(), "started at $now ms")
+        }
+    }
+
     /**
      * A leader that was taken over by force may not have noticed it, and may still renew leases. Tasks of machines that
      * never reported therefore wait until that leader can no longer act, and then for the expiry of the lease.
--- a/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
+++ b/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
@@ -22,6 +22,9 @@
 internal const val TOKEN = 7L
 internal const val PRIOR_TOKEN = 3L
 
+/** A machine type that the partitions of these tests do not know. */
+internal const val UNKNOWN_TYPE = "unknown type"
+
 /** Creates partitions of machines with eight cores each, jobs, and heartbeats of the machines. */
 abstract class PartitionFixture {
     private val machineType = MachineType("big", 8.0, 0.0, 64.0)
@@ -43,7 +46,7 @@
         priorLeaderUntilMs = priorLeaderUntilMs,
         registeredMachines = registered.associateWith { "big" },
         confirmation = confirmation,
-    ) { machineType.also { typeLookups++ } }
+    ) { name -> machineType.takeIf { name != UNKNOWN_TYPE }.also { typeLookups++ } }
 
     protected fun job(
         number: Int,
--- a/src/test/kotlin/io/otterknot/scheduling/PartitionJobTest.kt
+++ b/src/test/kotlin/io/otterknot/scheduling/PartitionJobTest.kt
@@ -1,6 +1,8 @@
 package io.otterknot.scheduling
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.BitSet
 
@@ -23,7 +25,8 @@
         job.owned.set(0, 3)
         job.makePending(tasks(0, 1, 2), StartReason.NEVER_STARTED)
         job.pending.remove(1)
-        job.makePending(tasks(1), StartReason.NEW_EPOCH)
+        assertTrue(job.makePending(1, StartReason.NEW_EPOCH))
+        assertFalse(job.makePending(3, StartReason.NEW_EPOCH))
         assertEquals(StartReason.NEW_EPOCH, job.pending.reasonOf(1))
         assertEquals(StartReason.NEVER_STARTED, job.pending.reasonOf(2))
         assertEquals(tasks(1, 2), job.pending.last(2))
