--- a/src/test/kotlin/io/otterknot/soak/SoakCommand.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakCommand.kt
@@ -83,7 +83,9 @@
 
     companion object {
         private const val MIN_WORKERS = 6
-        private const val LAST_PORT = 65_535
+
+        /** The system takes higher ports for outgoing connections. */
+        private const val LAST_PORT = 32_767
 
         /** Runs the command with the arguments [args] and returns its exit code. */
         fun execute(args: Array<String>): Int {
