--- a/src/test/kotlin/io/otterknot/soak/SafetyChecksTest.kt
+++ b/src/test/kotlin/io/otterknot/soak/SafetyChecksTest.kt
@@ -6,14 +6,17 @@
 import io.otterknot.testing.ObservedMachine
 import io.otterknot.testing.SafetyChecks
 import io.otterknot.testing.SimulatedTask
+import io.otterknot.testing.SimulatedUsers
 import io.otterknot.testing.smallJob
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.JobState
+import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import kotlin.random.Random
 
 /** Feeds the checker of the simulated cluster and of the soak a violation of each rule. */
 class SafetyChecksTest {
@@ -37,6 +40,16 @@
         assertEquals(emptyList<String>(), site.checks.violations)
     }
 
+    @Test
+    fun `a state reported for a job that nobody submitted is found`() = runTest {
+        val site = ObservedSite()
+        val users = SimulatedUsers(this, Random(1), { 0 }, listOf("n"), site.checks) { _, _, _, _, _ ->
+            HttpResponse(HttpStatus.OK, ByteArray(0))
+        }
+        users.pollUnknownJob("j-999999")
+        assertEquals(listOf("invented: j-999999"), site.checks.violations)
+    }
+
     class Violation(val rule: String, private val description: String, val cause: ObservedSite.() -> Unit) {
         override fun toString() = "$rule: $description"
     }
--- a/src/test/kotlin/io/otterknot/soak/SoakRun.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakRun.kt
@@ -124,10 +124,7 @@
         problems.addAll(checks.violations)
         problems.addAll(cluster.errorLines().map { "error line: $it" })
         val cancellations = checks.specs.keys.count(checks::isCancelled)
-        if (checks.starts == 0) problems.add("nothing_ran: no task was started")
-        if (cancellations == 0) problems.add("no job was cancelled")
-        if (leaderChanges == 0) problems.add("no partition changed its leader")
-        if (faults.isEmpty()) problems.add("no fault was injected")
+        problems.addAll(SoakActivity(checks.starts, cancellations, leaderChanges, faults.size).problems())
         val result =
             SoakResult(
                 options.seed,
