The check for a confirmed leadership stands in one place

"Confirmed after this time, else ask for a confirmation" was written four times, in MachineLifecycle, MachineRemovals and twice in FailoverReconciliation. They call LeadershipConfirmation.isConfirmedAfter now.

--- a/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
+++ b/src/main/kotlin/io/otterknot/partition/FailoverReconciliation.kt
@@ -54,10 +54,10 @@
     fun priorTokenShown(machine: Machine, now: Long) {
         machine.markUnreconciled()
         val noRenewalMs = term.priorLeaderUntilMs + evidence.leases.noRenewalAfterMs
-        when {
-            now <= noRenewalMs -> machine.leaseMayStart(now)
-            evidence.confirmation.confirmedMs > noRenewalMs -> machineReconciled(machine, now)
-            else -> evidence.confirmation.request()
+        if (now <= noRenewalMs) {
+            machine.leaseMayStart(now)
+        } else if (evidence.confirmation.isConfirmedAfter(noRenewalMs)) {
+            machineReconciled(machine, now)
         }
     }
 
@@ -67,7 +67,7 @@
      */
     fun completeIfReconciled(now: Long) {
         if (isComplete) return
-        removeExpiredMachines(now)
+        unreconciled.removeIf { isLeaseExpiryCertain(it, now) }
         if (!unreconciled.isEmpty) return
         isComplete = true
         val taskCount = jobs.makeUnreconciledTasksPending()
@@ -79,15 +79,9 @@
         )
     }
 
-    private fun removeExpiredMachines(now: Long) {
-        var isConfirmationDue = false
-        unreconciled.removeIf { id ->
-            val expiryMs = guaranteedLeaseExpiryMs(id)
-            val isConfirmed = expiryMs < evidence.confirmation.confirmedMs
-            if (expiryMs < now && !isConfirmed) isConfirmationDue = true
-            expiryMs < now && isConfirmed
-        }
-        if (isConfirmationDue) evidence.confirmation.request()
+    private fun isLeaseExpiryCertain(machineId: String, now: Long): Boolean {
+        val expiryMs = guaranteedLeaseExpiryMs(machineId)
+        return expiryMs < now && evidence.confirmation.isConfirmedAfter(expiryMs)
     }
 
     /**
--- a/src/main/kotlin/io/otterknot/partition/LeadershipConfirmation.kt
+++ b/src/main/kotlin/io/otterknot/partition/LeadershipConfirmation.kt
@@ -17,4 +17,11 @@
 
     /** Requests a new confirmation without waiting for the next periodic one. Returns immediately. */
     fun request()
+
+    /** Whether the leadership was confirmed after [timeMs]; requests a confirmation if not. */
+    fun isConfirmedAfter(timeMs: Long): Boolean {
+        val isConfirmed = confirmedMs > timeMs
+        if (!isConfirmed) request()
+        return isConfirmed
+    }
 }
--- a/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
+++ b/src/main/kotlin/io/otterknot/partition/MachineLifecycle.kt
@@ -43,10 +43,7 @@
     private fun releaseAttemptsIfConfirmed(machine: Machine) {
         val withUnknownTasks = state.unknownUsage.withUnknownTasks
         if (machine.attempts.isEmpty() && machine.id !in withUnknownTasks) return
-        if (evidence.confirmation.confirmedMs <= guaranteedLeaseExpiryMs(machine)) {
-            evidence.confirmation.request()
-            return
-        }
+        if (!evidence.confirmation.isConfirmedAfter(guaranteedLeaseExpiryMs(machine))) return
         withUnknownTasks.remove(machine.id)
         state.attempts.giveUpAll(machine, StartReason.LEASE_EXPIRED)
     }
--- a/src/main/kotlin/io/otterknot/partition/MachineRemovals.kt
+++ b/src/main/kotlin/io/otterknot/partition/MachineRemovals.kt
@@ -34,10 +34,9 @@
     /** Removes the machines that were gone when the leadership was last confirmed. */
     fun removeConfirmed() {
         if (pending.isEmpty()) return
-        val confirmed = pending.filterValues { it.goneMs < confirmation.confirmedMs }
+        val confirmed = pending.filterValues { confirmation.isConfirmedAfter(it.goneMs) }
         confirmed.forEach(::complete)
         pending.keys.removeAll(confirmed.keys)
-        if (pending.isNotEmpty()) confirmation.request()
     }
 
     private fun begin(id: String, removal: Removal) {
