Tests: one start of a leadership, no dead parameter in the soak

The three background tasks of a leadership were started by hand in four test classes; startLeadership serves them. ManagedController had a parameter that was always null, SoakCluster rebuilt a query that already begins with its question mark, and ControllerCommand's comment claimed that the deployed operators' file is used when none is given: none is, so optional subsystems are off.

--- a/src/test/kotlin/io/otterknot/controller/JobFinalizerTest.kt
+++ b/src/test/kotlin/io/otterknot/controller/JobFinalizerTest.kt
@@ -12,6 +12,7 @@
 import io.otterknot.testing.jobChange
 import io.otterknot.testing.leadership
 import io.otterknot.testing.smallJob
+import io.otterknot.testing.startLeadership
 import io.otterknot.wire.KeyChange
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.cancelChildren
@@ -39,9 +40,7 @@
         val jobs = fixture.readJobs()
         val replica = fixture.replica
         val leadership = fixture.leadership("n", mapOf("n" to "a"))
-        launch { replica.followWatch() }
-        launch { leadership.keepStoreLease() }
-        launch { leadership.acquirePartitions() }
+        startLeadership(fixture, leadership)
         while (leadership.actingToken("a") == null) delay(50)
         val completions = CompletionSegmentRecord(ids.associateWith { "AQ" })
         val completionChange =
--- a/src/test/kotlin/io/otterknot/leadership/PartitionAcquirerTest.kt
+++ b/src/test/kotlin/io/otterknot/leadership/PartitionAcquirerTest.kt
@@ -7,11 +7,11 @@
 import io.otterknot.testing.FakeKeyValueStore
 import io.otterknot.testing.StoreFixture
 import io.otterknot.testing.leadership
+import io.otterknot.testing.startLeadership
 import io.otterknot.wire.KeyChange
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -26,9 +26,7 @@
         val leadership = fixture.leadership("n", mapOf("n" to "a"), onAcquired = {
             acquiredTokens.add(it.fencingToken)
         })
-        launch { fixture.replica.followWatch() }
-        launch { leadership.keepStoreLease() }
-        launch { leadership.acquirePartitions() }
+        startLeadership(fixture, leadership)
         delay(10_000)
         assertEquals("other", leadership.leaderOf("a"))
         assertEquals(emptyList<Long>(), acquiredTokens)
--- a/src/test/kotlin/io/otterknot/leadership/StoreLeaseKeeperTest.kt
+++ b/src/test/kotlin/io/otterknot/leadership/StoreLeaseKeeperTest.kt
@@ -2,11 +2,11 @@
 
 import io.otterknot.testing.StoreFixture
 import io.otterknot.testing.leadership
+import io.otterknot.testing.startLeadership
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -18,9 +18,7 @@
     fun `a requested confirmation does not wait for the next renewal and is not older than the request`() = runTest {
         val fixture = StoreFixture(this)
         val leadership = fixture.leadership("n", mapOf("n" to "a"))
-        launch { fixture.replica.followWatch() }
-        launch { leadership.keepStoreLease() }
-        launch { leadership.acquirePartitions() }
+        startLeadership(fixture, leadership)
         while (leadership.actingToken("a") == null) delay(50)
         delay(4_000)
         val requestedMs = fixture.now()
@@ -34,9 +32,7 @@
     fun `a leader that the store refuses is not confirmed`() = runTest {
         val fixture = StoreFixture(this)
         val leadership = fixture.leadership("n", mapOf("n" to "a"))
-        launch { fixture.replica.followWatch() }
-        launch { leadership.keepStoreLease() }
-        launch { leadership.acquirePartitions() }
+        startLeadership(fixture, leadership)
         while (leadership.actingToken("a") == null) delay(50)
         delay(4_000)
         fixture.state.refusedNode = "n"
--- a/src/test/kotlin/io/otterknot/load/ControllerCommand.kt
+++ b/src/test/kotlin/io/otterknot/load/ControllerCommand.kt
@@ -6,8 +6,8 @@
 /** The command line in `deploy/service.toml` with which operators start a controller. */
 object ControllerCommand {
     /**
-     * Returns the command with the settings file [settings], the additional JVM [options] and, if not null, the operator
-     * settings file [operators] in place of the deployed one.
+     * Returns the command with the settings file [settings], the additional JVM [options] and the operator settings file
+     * [operators]; if that is null, without operator settings, so that optional subsystems are off.
      */
     fun of(settings: Path, options: List<String> = emptyList(), operators: Path? = null): List<String> {
         val command = Files.readAllLines(Path.of("deploy/service.toml")).first { it.startsWith("run = ") }
--- a/src/test/kotlin/io/otterknot/soak/ManagedController.kt
+++ b/src/test/kotlin/io/otterknot/soak/ManagedController.kt
@@ -6,12 +6,7 @@
 import java.nio.file.Path
 
 /** The process of one controller, which can be killed, paused and resumed. */
-class ManagedController(
-    private val settings: Path,
-    private val log: File,
-    private val operators: Path?,
-    private val logLevel: String,
-) {
+class ManagedController(private val settings: Path, private val log: File, private val logLevel: String) {
     private var process: Process? = null
 
     init {
@@ -27,7 +22,7 @@
 
     fun start() {
         if (process != null) return
-        val builder = ProcessBuilder(ControllerCommand.of(settings, operators = operators))
+        val builder = ProcessBuilder(ControllerCommand.of(settings))
         builder.environment()["LOG_LEVEL"] = logLevel
         process = builder.redirectOutput(ProcessBuilder.Redirect.DISCARD)
             .redirectError(ProcessBuilder.Redirect.appendTo(log))
--- a/src/test/kotlin/io/otterknot/soak/SoakCluster.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakCluster.kt
@@ -61,7 +61,7 @@
     }
     private val controllers = nodes.associateWith { node ->
         val file = Files.writeString(options.directory.resolve("$node.toml"), settings.of(node))
-        ManagedController(file, options.directory.resolve("$node.log").toFile(), operators = null, options.logLevel)
+        ManagedController(file, options.directory.resolve("$node.log").toFile(), options.logLevel)
     }
     private val listeners = ArrayList<TcpListener>()
     private val taskEvents = ArrayList<String>()
@@ -147,14 +147,14 @@
 
     private fun serve(port: Int, transport: Transport) {
         val server = HttpServer(loop, MAX_SERVICE_CONNECTIONS, MAX_SERVICE_BODY_BYTES) { request ->
-            val query = if (request.query.isEmpty() ||
-                request.query.startsWith('?')
+            when (
+                val reply = transport.call(
+                    request.method,
+                    request.path + request.query,
+                    request.body,
+                    SERVICE_TIMEOUT_MS,
+                )
             ) {
-                request.query
-            } else {
-                "?${request.query}"
-            }
-            when (val reply = transport.call(request.method, request.path + query, request.body, SERVICE_TIMEOUT_MS)) {
                 is Reply.Answer -> HttpResponse(reply.status, reply.body)
                 is Reply.None -> HttpResponse(UNKNOWN_OUTCOME_STATUS, ByteArray(0))
             }
--- a/src/test/kotlin/io/otterknot/store/WriteLimitsTest.kt
+++ b/src/test/kotlin/io/otterknot/store/WriteLimitsTest.kt
@@ -8,6 +8,7 @@
 import io.otterknot.testing.FakeKeyValueStore
 import io.otterknot.testing.StoreFixture
 import io.otterknot.testing.leadership
+import io.otterknot.testing.startLeadership
 import io.otterknot.testing.testPartition
 import io.otterknot.wire.KeyChange
 import io.otterknot.wire.VersionCondition
@@ -107,11 +108,7 @@
         val fixture = StoreFixture(this) { scriptedTransport(it, statuses) }
         val partitions = HashMap<String, Partition>()
         val leadership = fixture.leadership("n", mapOf("n" to "a"), partitions = partitions)
-        val background = launch {
-            launch { fixture.replica.followWatch() }
-            launch { leadership.keepStoreLease() }
-            launch { leadership.acquirePartitions() }
-        }
+        val background = launch { startLeadership(fixture, leadership) }
 
         fixture.replica.awaitLoaded()
         while (leadership.actingToken("a") == null) kotlinx.coroutines.delay(50)
--- a/src/test/kotlin/io/otterknot/testing/LeadershipFixture.kt
+++ b/src/test/kotlin/io/otterknot/testing/LeadershipFixture.kt
@@ -6,6 +6,8 @@
 import io.otterknot.leadership.LeadershipSettings
 import io.otterknot.leadership.PartitionLeadership
 import io.otterknot.partition.Partition
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 import kotlin.random.Random
 
 /**
@@ -33,3 +35,10 @@
     val settings = LeadershipSettings(label, zones, domains, storeLeaseTtlMs = 20_000)
     return PartitionLeadership(settings, client, replica, host, listener, now, Random(1))
 }
+
+/** Starts the background tasks with which [leadership] acquires partitions and keeps them, in this scope. */
+fun CoroutineScope.startLeadership(fixture: StoreFixture, leadership: PartitionLeadership) {
+    launch { fixture.replica.followWatch() }
+    launch { leadership.keepStoreLease() }
+    launch { leadership.acquirePartitions() }
+}
