--- a/review/standins/Cloud.java
+++ b/review/standins/Cloud.java
@@ -34,7 +34,7 @@
     final Map<String, Worker> workers = new LinkedHashMap<>();
     private int lastMachine = 0;
 
-    /** How many machines of a type may exist in a zone, by "TYPE ZONE"; none where there is no entry. */
+    /** How many ordinary machines of a type may exist in a zone, by "TYPE ZONE"; none where there is no entry. */
     final Map<String, Integer> capacity = new LinkedHashMap<>();
 
     Cloud(Site site) {
@@ -47,13 +47,18 @@
 
     /** Starts a machine that is up at once. */
     Worker boot(Type type, String zone) {
-        return boot(type, zone, 0);
+        return boot(type, zone, false, 0);
+    }
+
+    /** Starts a spot machine that is up at once. */
+    Worker bootSpot(Type type, String zone) {
+        return boot(type, zone, true, 0);
     }
 
     /** Starts a machine that is up after some time. */
-    private synchronized Worker boot(Type type, String zone, double afterS) {
+    private synchronized Worker boot(Type type, String zone, boolean spot, double afterS) {
         String id = String.format("m-%06d", ++lastMachine);
-        Worker worker = new Worker(site, id, type, zone, afterS);
+        Worker worker = new Worker(site, id, type, zone, spot, afterS);
         workers.put(id, worker);
         worker.start();
         return worker;
@@ -65,6 +70,13 @@
         worker.end();
     }
 
+    /** The cloud takes a spot machine back without notice; it is not listed any more. */
+    synchronized void take(Worker worker) {
+        Site.record("machine " + worker.id + " (" + worker.type.name + ", spot, " + worker.zone + ") is taken back");
+        workers.remove(worker.id);
+        worker.end();
+    }
+
     synchronized List<Worker> all() {
         return new ArrayList<>(workers.values());
     }
@@ -96,7 +108,7 @@
         if (!target.contains("After=")) {
             for (Worker worker : workers.values()) {
                 listed.add(Json.of("Uid", worker.id, "Endpoint", "127.0.0.1:9", "Breed", worker.type.name, "Reach",
-                    worker.zone, "Driftwood", false, "Mood", worker.mood(), "HeldS",
+                    worker.zone, "Driftwood", worker.spot, "Mood", worker.mood(), "HeldS",
                     (Site.nowMs() - worker.rentedMs) / 1000.0));
             }
         }
@@ -111,10 +123,11 @@
             Type type = type((String) request.get("Breed"));
             String zone = (String) request.get("Reach");
             int limit = capacity.getOrDefault(type.name + " " + zone, 0);
-            long present = workers.values().stream().filter(w -> w.type == type && w.zone.equals(zone)).count();
             boolean spot = (Boolean) request.get("Driftwood");
+            long present =
+                workers.values().stream().filter(w -> w.type == type && w.zone.equals(zone) && !w.spot).count();
             long number = spot ? 0 : Math.min((Long) request.get("Number"), limit - present);
-            for (long i = 0; i < number; i++) rented.add(boot(type, zone, type.readyS).id);
+            for (long i = 0; i < number; i++) rented.add(boot(type, zone, spot, type.readyS).id);
             if (rented.isEmpty()) return new Http.Answer(503, "{\"error\":\"no capacity\"}");
             rentals.put(bid, rented);
             Site.record("cloud: rented " + rented + " " + type.name + " " + zone);
--- a/review/standins/ManyEndedJobs.java
+++ b/review/standins/ManyEndedJobs.java
@@ -51,18 +51,29 @@
             + Json.write(records[1]));
         if (!users.submit("holt-0", open, 600_000)) return 2;
 
+        double days = Double.parseDouble(System.getenv().getOrDefault("DAYS", Site.hasTrouble() ? "3" : "1"));
+        int count = (int) (days * JOBS_A_DAY);
         if (Site.hasTrouble()) {
             for (String label : site.labels) site.kill(label);
-            double days = Double.parseDouble(System.getenv().getOrDefault("DAYS", "3"));
-            int count = (int) (days * JOBS_A_DAY);
-            for (int i = 0; i < count; i++) site.store.preload(String.format("o/j/j-%06d", 100_000 + i), records[i % 2]);
+            for (int i = 0; i < count; i++) site.store.preload(id(i), records[i % 2]);
             Site.record("the state service holds the final states of " + count + " jobs, " + days + " days of work");
             Thread.sleep(RESTART_MS);
             for (String label : site.labels) site.start(label);
+        } else {
+            // Without the crash the controllers see the records one after the other, as they see those of others.
+            for (int i = 0; i < count; i++) {
+                site.store.put(id(i), records[i % 2]);
+                if (i % 100 == 99) Thread.sleep(50);
+            }
+            Site.record("the controllers have seen the final states of " + count + " jobs, " + days + " days of work");
         }
         return watch(site, users);
     }
 
+    private static String id(int job) {
+        return String.format("o/j/j-%06d", 100_000 + job);
+    }
+
     /** The platform starts ended processes again; a user asks about the open job at all controllers, for 75 s. */
     private static int watch(Site site, Users users) throws Exception {
         long[] endedMs = new long[site.labels.size()];
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -39,6 +39,9 @@
     int txnOps = 40;
     int fdLimit = 700;
 
+    /** The content of the operators' file, or null for the one of the deploy file. */
+    String operators;
+
     Site(List<String> zones, int controllers) throws IOException {
         directory = Files.createTempDirectory("otterknot-review");
         this.zones.addAll(zones);
@@ -112,6 +115,10 @@
         List<String> command = new ArrayList<>(
             Arrays.asList(run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).trim().split(" +")));
         command.add(settings.toString());
+        if (operators != null) {
+            Path file = Files.writeString(directory.resolve("operators.sexp"), operators);
+            command.set(command.indexOf("--operators") + 1, file.toString());
+        }
         ProcessBuilder builder = new ProcessBuilder(command).directory(repository);
         builder.environment().putIfAbsent("LOG_LEVEL", "info");
         builder.redirectErrorStream(true);
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -51,6 +51,12 @@
     private long nextLease = 1;
     private long tide = 0;
 
+    /**
+     * Called with each transaction before it is carried out; returns 0, or after how many seconds it is carried out
+     * without an answer.
+     */
+    java.util.function.ToDoubleFunction<Map<String, Object>> lateness = txn -> 0;
+
     /** Limits of the settings. */
     double writeRps = 1e9;
     int valueBytes = 8 * 1024;
@@ -78,6 +84,14 @@
         droppedUpTo = tide;
     }
 
+    /** Stores a value and shows it to the watches, as a transaction does. */
+    synchronized void put(String key, Object value) {
+        tide++;
+        data.put(key, new Value(value, tide, null));
+        log(key, Json.of("Put", key, "V", value, "Mark", tide));
+        notifyAll();
+    }
+
     int serve() throws java.io.IOException {
         return Http.serve(this::handle);
     }
@@ -85,6 +99,18 @@
     private Http.Answer handle(String method, String target, String body) throws InterruptedException {
         Thread.sleep(2);
         if (target.startsWith("/watch")) return watch(query(target));
+        if (target.equals("/txn")) {
+            Map<String, Object> txn = Json.object(body);
+            long lateMs = (long) (lateness.applyAsDouble(txn) * 1000);
+            if (lateMs > 0) {
+                Thread.sleep(lateMs);
+                synchronized (this) {
+                    expire();
+                    Site.record("state service: late transaction carried out: " + transact(txn).status);
+                }
+                return null;
+            }
+        }
         synchronized (this) {
             expire();
             if (target.equals("/txn")) return transact(Json.object(body));
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -36,6 +36,7 @@
     final String id;
     final Cloud.Type type;
     final String zone;
+    final boolean spot;
     final long rentedMs = Site.nowMs();
     private final long upMs;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
@@ -49,11 +50,12 @@
     private Http.Client client;
     private boolean changed;
 
-    Worker(Site site, String id, Cloud.Type type, String zone, double afterS) {
+    Worker(Site site, String id, Cloud.Type type, String zone, boolean spot, double afterS) {
         this.site = site;
         this.id = id;
         this.type = type;
         this.zone = zone;
+        this.spot = spot;
         upMs = rentedMs + (long) (afterS * 1000);
         leaseFromMs = upMs;
         use(site.labels.get(Math.abs(id.hashCode()) % site.labels.size()));
@@ -80,6 +82,13 @@
         client = new Http.Client(site.ports.get(label));
     }
 
+    /** Makes a running task end after some time. */
+    synchronized void endTask(String name, long afterMs) {
+        for (Task task : tasks.values()) {
+            if (task.name.equals(name) && task.mood.equals("running")) task.endsMs = Site.nowMs() + afterMs;
+        }
+    }
+
     /** The tasks that run now, with their attempts. */
     synchronized Map<String, Long> running() {
         advance();
@@ -137,7 +146,7 @@
                 chores.add(Json.of("Chore", task.name, "Try", task.attempt, "Mood", task.mood, "Cause", task.cause));
             }
             body = Json.write(Json.of("Holt", id, "Endpoint", "127.0.0.1:9", "Breed", type.name, "Reach", zone,
-                "Driftwood", false, "Dive", dive, "Ripple", ++ripple, "Warrant", warrant, "Chores", chores));
+                "Driftwood", spot, "Dive", dive, "Ripple", ++ripple, "Warrant", warrant, "Chores", chores));
         }
         long sentMs = Site.nowMs();
         Http.Message answer = client.call("POST", "/v1/report", body, REPORT_LIMIT_MS);
