--- a/review/standins/Cloud.java
+++ b/review/standins/Cloud.java
@@ -70,6 +70,12 @@
         worker.end();
     }
 
+    /** The cloud no longer offers a type; machines of it that are rented stay. */
+    synchronized void retire(Type type) {
+        Site.record("cloud: type " + type.name + " is no longer offered");
+        types.remove(type);
+    }
+
     /** The cloud takes a spot machine back without notice; it is not listed any more. */
     synchronized void take(Worker worker) {
         Site.record("machine " + worker.id + " (" + worker.type.name + ", spot, " + worker.zone + ") is taken back");
