A nested message no longer overflows the stack of a controller

Users saw: a submission of 2,000 nested arrays (4 KB, PROTOCOL asks for 400) got no answer, and the controller that read it ended with StackOverflowError.

Cause: kotlinx.serialization reads arrays into a tree of JsonElement by recursion, two frames a level; only nested objects are read without. On a stack of 256 KiB (-Xss256k) some 500 levels of arrays, a body of 500 bytes, are too many while the code is still interpreted. The values of the store and of its watch are read in the same way, so a nested field of a stored record would have ended every controller at each start. Heartbeats and the cloud's answers are decoded to classes; there the library skips unknown fields without recursion (tried with 30,000 levels).

Fix: text that is read into a tree is scanned for its depth first. Beyond 64 levels, where no known field is, arrays and objects are parsed from the innermost outwards, 64 levels at a time, and replaced by null. So unknown fields are ignored whatever they nest, text that is not JSON is still found out by the library, and its recursion never exceeds 64 levels. Usual messages are passed on as they are.

--- a/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
+++ b/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
@@ -11,6 +11,7 @@
 import io.otterknot.wire.MachineTypes
 import io.otterknot.wire.ScaleOutRequest
 import io.otterknot.wire.WireJson
+import io.otterknot.wire.decodeJson
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 
@@ -90,7 +91,7 @@
     }
 
     private fun <T> parse(serializer: KSerializer<T>, response: Reply.Answer): CloudResult<T> = try {
-        CloudResult.Success(WireJson.decodeFromString(serializer, response.text))
+        CloudResult.Success(decodeJson(serializer, response.text))
     } catch (e: SerializationException) {
         CloudResult.Failure("response body cannot be decoded: ${e.message}")
     }
--- a/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
+++ b/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
@@ -14,6 +14,7 @@
 import io.otterknot.wire.VersionCondition
 import io.otterknot.wire.WatchEvents
 import io.otterknot.wire.WireJson
+import io.otterknot.wire.decodeJson
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 
@@ -147,7 +148,7 @@
 
     /** Returns null if the body does not follow the protocol; callers treat that like a missing answer. */
     private fun <T> parse(serializer: KSerializer<T>, reply: Reply.Answer): T? = try {
-        WireJson.decodeFromString(serializer, reply.text)
+        decodeJson(serializer, reply.text)
     } catch (_: SerializationException) {
         null
     }
--- a/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
+++ b/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
@@ -49,7 +49,7 @@
 
 /** Returns the id of a submission that may be malformed in other respects, or null if it has none. */
 fun peekSubmissionId(body: ByteArray): String? = try {
-    val fields = WireJson.parseToJsonElement(body.decodeToString()) as? JsonObject
+    val fields = parseJson(body.decodeToString()) as? JsonObject
     (fields?.get("Uid") as? JsonPrimitive)?.takeIf { it.isString }?.content
 } catch (_: SerializationException) {
     // parseSubmission reports the error.
@@ -60,7 +60,7 @@
     parseElement(body) as? JsonObject ?: throw MalformedMessageException("not a JSON object")
 
 private fun parseElement(body: ByteArray): JsonElement = try {
-    WireJson.parseToJsonElement(body.decodeToString(throwOnInvalidSequence = true))
+    parseJson(body.decodeToString(throwOnInvalidSequence = true))
 } catch (_: SerializationException) {
     throw MalformedMessageException("not JSON")
 } catch (_: CharacterCodingException) {
