An Error in the code of one request is that request's failure

Cause: HttpServer and PeerServer caught Exception only. An Error left the coroutine of the connection, which cancels the scope of all connections and background tasks.

Fix: a handler that throws an Error is logged and answered with 500, which users retry; an Error elsewhere in a connection is logged and closes that connection. Background tasks treat a StackOverflowError like an exception. Any other Error there, as an OutOfMemoryError, still ends the process on purpose: no request is at fault, and state in memory may be half changed, which a restart mends from the store.

--- a/src/main/kotlin/io/otterknot/controller/BackgroundTasks.kt
+++ b/src/main/kotlin/io/otterknot/controller/BackgroundTasks.kt
@@ -26,7 +26,9 @@
 
     /**
      * Runs [task] until it fails or returns; the coroutines that it has started end with it. Logs any exception except
-     * cancellation with its cause.
+     * cancellation with its cause, and likewise a [StackOverflowError], which some input may cause. Any other [Error],
+     * such as an [OutOfMemoryError], ends the process: it may occur at any point and leave state in memory half changed.
+     * The process is started again and reads its state from the store.
      */
     @Suppress("TooGenericExceptionCaught") // A task is restarted after any failure: no other controller does its work.
     private suspend fun runLoggingFailure(name: String, task: suspend () -> Unit) {
@@ -35,10 +37,15 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            log.error("background_task={} restart_delay_ms={} failed", name, RESTART_DELAY_MS, e)
+            logFailure(name, e)
+        } catch (e: StackOverflowError) {
+            logFailure(name, e)
         }
     }
 
+    private fun logFailure(name: String, failure: Throwable) =
+        log.error("background_task={} restart_delay_ms={} failed", name, RESTART_DELAY_MS, failure)
+
     private companion object {
         const val RESTART_DELAY_MS = 500L
     }
--- a/src/main/kotlin/io/otterknot/http/HttpServer.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpServer.kt
@@ -92,6 +92,8 @@
         } catch (e: Exception) {
             // Logged at debug level only: clients commonly disconnect in the middle of a request.
             log.debug("error={} connection ended", e.toString())
+        } catch (e: Error) {
+            log.error("connection failed", e)
         } finally {
             connections.remove(connection)
             connection.socket.close()
@@ -103,12 +105,16 @@
         is ReceivedRequest.Complete -> handle(received.request)
     }
 
-    @Suppress("TooGenericExceptionCaught") // a handler may throw anything; it is logged, and the client gets status 500
+    /**
+     * Calls [handler]. Any failure is logged, and the client gets status 500. That includes an [Error], such as a
+     * [StackOverflowError]: otherwise one request would end the process, and its retries all other controllers.
+     */
+    @Suppress("TooGenericExceptionCaught")
     private suspend fun handle(request: HttpRequest): HttpResponse = try {
         handler(request)
     } catch (e: CancellationException) {
         throw e
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         log.error("method={} path={} request failed", request.method, request.path, e)
         HttpResponse.refusal(HttpStatus.INTERNAL_SERVER_ERROR, "internal error")
     }
--- a/src/main/kotlin/io/otterknot/peer/PeerServer.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerServer.kt
@@ -56,6 +56,8 @@
             throw e
         } catch (e: Exception) {
             log.debug("error={} peer connection closed", e.toString())
+        } catch (e: Error) {
+            log.error("peer connection failed", e)
         } finally {
             openConnections--
             connection.close()
--- a/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
+++ b/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
@@ -65,6 +65,18 @@
             connection.close()
         }
 
+    /** Guards against an error in the code of one request that ends the process with all its connections (review/2). */
+    @ParameterizedTest
+    @MethodSource("handlerFailures")
+    fun `a request whose handler fails gets 500, and the server goes on`(failure: Throwable) =
+        withServer(failureOf = { failure.takeIf { _ -> it.path == "/fails" } }) { _, address, _ ->
+            val client = HttpClient(loop, address)
+            for (path in listOf("/", "/fails", "/fails", "/")) {
+                val reply = client.call("GET", path, null, CALL_TIMEOUT_MS) as Reply.Answer
+                assertEquals(if (path == "/fails") 500 else 200, reply.status, path)
+            }
+        }
+
     @Test
     fun `the handler receives method, path, query and body as sent`() = withServer { _, address, requests ->
         val client = HttpClient(loop, address)
@@ -215,6 +227,7 @@
     private fun withServer(
         maxConnections: Int = 16,
         limits: ConnectionLimits = ConnectionLimits(),
+        failureOf: (HttpRequest) -> Throwable? = { null },
         test: suspend CoroutineScope.(TestServer, HostPort, List<String>) -> Unit,
     ) = EventLoop().use { newLoop ->
         loop = newLoop
@@ -225,6 +238,7 @@
             server = HttpServer(newLoop, maxConnections, MAX_BODY_BYTES, limits) { request ->
                 testServer.threads.add(Thread.currentThread())
                 requests.add(describe(request))
+                failureOf(request)?.let { throw it }
                 HttpResponse(200, request.body)
             }
             val listener = server.bind(HostPort("127.0.0.1", 0))
@@ -260,6 +274,14 @@
         private const val POST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"
         private const val CHUNKED = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+        @JvmStatic
+        fun handlerFailures() = listOf(
+            IllegalStateException("thrown by the test"),
+            StackOverflowError("thrown by the test"),
+            InternalError("thrown by the test"),
+            NoClassDefFoundError("thrown by the test"),
+        )
+
         @JvmStatic
         fun slowRequestCases() = listOf(
             RequestCase(
