A request with a malformed chunked body gets its 400

Users saw: a submission with `Transfer-Encoding: chunked` and an invalid chunk (a size that is no number, or one that the data do not match) got no response; the connection was closed. That is "retried for up to 60 s in total" where PROTOCOL asks for 400, "Not retried".

Cause: an exception of Ktor's decoder left RequestReader as it was, and HttpServer takes unknown exceptions for a disconnected client.

Fix: an exception of the decoder is a malformed HTTP message.

Test: five of six new cases of HttpLoopTest "valid and malformed requests are answered with the expected statuses" got no response before (-1 in place of 400); the sixth, a chunked body that is too large, was right.

--- a/src/main/kotlin/io/otterknot/http/RequestReader.kt
+++ b/src/main/kotlin/io/otterknot/http/RequestReader.kt
@@ -6,6 +6,7 @@
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import io.otterknot.net.TcpConnection
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 
@@ -73,14 +74,13 @@
     /**
      * Decodes a chunked body with Ktor's decoder. The decoder may consume bytes beyond the end of the body; these are
      * lost, so the connection is closed after the response.
+     *
+     * @throws MalformedHttpException if the body is not chunked as it should be
      */
     private suspend fun receiveChunked(socket: TcpConnection, head: HttpHead): ReceivedRequest = coroutineScope {
         val encoded = ByteChannel(autoFlush = true)
         val decoded = ByteChannel()
-        val decoder = launch {
-            parseHttpBody(HttpProtocolVersion.HTTP_1_1, -1L, "chunked", null, encoded, decoded)
-            decoded.flushAndClose()
-        }
+        val decoder = launch { decodeChunks(encoded, decoded) }
         val pump = launch {
             do encoded.writeFully(socket.input.readByteArray()) while (socket.receive())
             encoded.flushAndClose()
@@ -101,6 +101,18 @@
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // Ktor does not say which exceptions a malformed body causes.
+    private suspend fun decodeChunks(encoded: ByteChannel, decoded: ByteChannel) {
+        try {
+            parseHttpBody(HttpProtocolVersion.HTTP_1_1, -1L, "chunked", null, encoded, decoded)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            throw MalformedHttpException("the chunked body is malformed")
+        }
+        decoded.flushAndClose()
+    }
+
     private fun complete(
         head: HttpHead,
         body: ByteArray,
