Incomplete requests on many connections no longer fill the heap

Seen with real processes, started as in deploy/service.toml (trials on loopback): 1,500 connections that each send the head of a chunked request (60 bytes) end a controller with fd_limit 2000 by OutOfMemoryError; so do 1,500 with a body of 64 KiB that lacks its last byte, and, with fd_limit 5000, 3,900 with a head of 16,000 bytes that does not end. Every other user and worker of that controller loses it.

Cause: each request was bounded, their sum was not, and a chunked body got its 64 KiB before a byte of it had come. 4/5 of the descriptors times 64 KiB is more than the heap of 64 MiB.

Fix: before a body is awaited its size is reserved, the maximum if it is chunked; so are 16 KiB for the rest of a head, and what a client has sent of its next request. All reservations together are an eighth of the heap; beyond it a request gets 503 with Retry-After: 1, and its connection is closed. A reservation ends with the response or the connection. A usual request arrives in one piece and needs its own size until it is answered.

Test: HttpLoopTest "incomplete requests use limited memory, and their end makes room for others" fails in its three cases (400 at the request timeout in place of 503) without the check in RequestMemory.

--- a/src/main/kotlin/io/otterknot/http/HttpHead.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpHead.kt
@@ -28,7 +28,7 @@
     companion object {
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
-        private const val MAX_HEAD_BYTES = 16_384L
+        const val MAX_HEAD_BYTES = 16_384L
 
         /** How many bytes of a head's end (LF, optional CR, LF) may have arrived before its last byte. */
         private const val MAX_PARTIAL_END_BYTES = 2
@@ -36,14 +36,15 @@
 
         /**
          * Receives the next head on [connection]; returns null if the peer closes the connection before the head is
-         * complete.
+         * complete. Calls [onIncomplete] once before it waits for the rest of a head that has begun.
          *
          * @throws MalformedHttpException if the head is longer than [MAX_HEAD_BYTES], or a header line has no name
          *   or no colon
          */
-        suspend fun receive(connection: TcpConnection): HttpHead? {
+        suspend fun receive(connection: TcpConnection, onIncomplete: () -> Unit = {}): HttpHead? {
             val input = connection.input
             var searchFrom = 0L
+            var isIncomplete = false
             while (true) {
                 if (searchFrom == 0L) skipEmptyLines(input)
                 val end = endOfHead(input, searchFrom)
@@ -51,6 +52,10 @@
                 if (input.size > MAX_HEAD_BYTES) {
                     throw MalformedHttpException("the HTTP head is longer than the allowed $MAX_HEAD_BYTES bytes")
                 }
+                if (!input.exhausted() && !isIncomplete) {
+                    isIncomplete = true
+                    onIncomplete()
+                }
                 searchFrom = maxOf(0L, input.size - MAX_PARTIAL_END_BYTES)
                 if (!connection.receive()) return null
             }
--- a/src/main/kotlin/io/otterknot/http/HttpServer.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpServer.kt
@@ -13,7 +13,8 @@
 
 /**
  * An HTTP/1.1 server without pipelining: each connection is served by a coroutine of its own, one request at a time.
- * While [maxConnections] connections are open, a further one is closed as soon as it is accepted.
+ * While [maxConnections] connections are open, a further one is closed as soon as it is accepted. A request for which
+ * [maxRequestMemoryBytes] leaves no room beside those that are being received or answered is refused with status 503.
  *
  * Of Ktor's CIO engine only the decoder of chunked bodies is used, because the engine takes seconds to start on a
  * twentieth of a core.
@@ -23,10 +24,12 @@
     private val maxConnections: Int,
     maxBodyBytes: Int,
     private val limits: ConnectionLimits = ConnectionLimits(),
+    maxRequestMemoryBytes: Long = Runtime.getRuntime().maxMemory() / HEAP_SHARE_DIVISOR,
     private val handler: suspend (HttpRequest) -> HttpResponse,
 ) {
     private val log = LoggerFactory.getLogger(HttpServer::class.java)
     private val reader = RequestReader(maxBodyBytes)
+    private val requestMemory = RequestMemory(maxRequestMemoryBytes)
     private val connections = HashSet<ServerConnection>()
 
     /** How many connections have been accepted since the start, without those closed because of [maxConnections]. */
@@ -57,7 +60,7 @@
                 continue
             }
             acceptedCount++
-            val connection = ServerConnection(socket)
+            val connection = ServerConnection(socket, requestMemory.Reservation())
             connections.add(connection)
             scope.launch { serveRequests(connection) }
         }
@@ -96,7 +99,7 @@
             log.error("connection failed", e)
         } finally {
             connections.remove(connection)
-            connection.socket.close()
+            connection.close()
         }
     }
 
@@ -133,6 +136,9 @@
 
     private companion object {
         const val ACCEPT_RETRY_MS = 100L
+
+        /** Requests may use this part of the heap. */
+        const val HEAP_SHARE_DIVISOR = 8
         const val TYPICAL_HEAD_CHARS = 160
     }
 }
--- a/src/main/kotlin/io/otterknot/http/RequestReader.kt
+++ b/src/main/kotlin/io/otterknot/http/RequestReader.kt
@@ -5,7 +5,6 @@
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
-import io.otterknot.net.TcpConnection
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -18,7 +17,7 @@
     class Complete(val request: HttpRequest, override val closesConnection: Boolean) : ReceivedRequest
 
     /**
-     * A malformed, too large or late request, refused with [response]. The connection is closed after the response,
+     * A request that is malformed, too large or late, or for which there is no memory, refused with [response]. The connection is closed after the response,
      * because it is unknown where the next request begins.
      */
     class Invalid(val response: HttpResponse) : ReceivedRequest {
@@ -35,23 +34,36 @@
         invalid(HttpStatus.BAD_REQUEST, e.message.orEmpty())
     } catch (e: RequestTimeoutException) {
         invalid(HttpStatus.BAD_REQUEST, e.message.orEmpty())
+    } catch (e: RequestMemoryExhaustedException) {
+        ReceivedRequest.Invalid(
+            HttpResponse.refusal(
+                HttpStatus.SERVICE_UNAVAILABLE,
+                e.message.orEmpty(),
+                MEMORY_RETRY_AFTER_S,
+                close = true,
+            ),
+        )
     }
 
     private suspend fun receiveRequest(connection: ServerConnection): ReceivedRequest? {
-        val head = HttpHead.receive(connection.socket) ?: return null
+        val head =
+            HttpHead.receive(connection.socket) { connection.memory.add(HttpHead.MAX_HEAD_BYTES) } ?: return null
         connection.headReceived()
-        return when {
+        val received = when {
             !isHttpRequest(head) -> invalid(HttpStatus.BAD_REQUEST, "the first line must be METHOD TARGET HTTP/1.x")
-            head.isChunked -> receiveChunked(connection.socket, head)
-            else -> receiveWithLength(connection.socket, head)
+            head.isChunked -> receiveChunked(connection, head)
+            else -> receiveWithLength(connection, head)
         }
+        // What the client has already sent of its next request stays in memory until this one is answered.
+        connection.memory.add(connection.socket.input.size)
+        return received
     }
 
     /**
      * Reads a body of `Content-Length` bytes, or an empty one without that header. Returns null if the client closes
      * the connection before the body is complete.
      */
-    private suspend fun receiveWithLength(socket: TcpConnection, head: HttpHead): ReceivedRequest? {
+    private suspend fun receiveWithLength(connection: ServerConnection, head: HttpHead): ReceivedRequest? {
         val lengthField = head["Content-Length"] ?: return complete(head, EMPTY_BODY)
         val bodyBytes = lengthField.toLongOrNull()
         return when {
@@ -62,12 +74,16 @@
 
             bodyBytes > maxBodyBytes -> bodyTooLarge()
 
-            !socket.receive(bodyBytes) -> null
-
-            else -> complete(head, socket.input.readByteArray(bodyBytes))
+            else -> receiveBody(connection, head, bodyBytes)
         }
     }
 
+    private suspend fun receiveBody(connection: ServerConnection, head: HttpHead, bodyBytes: Long): ReceivedRequest? {
+        connection.memory.add(bodyBytes)
+        if (!connection.socket.receive(bodyBytes)) return null
+        return complete(head, connection.socket.input.readByteArray(bodyBytes))
+    }
+
     private fun isHttpRequest(head: HttpHead): Boolean =
         head.startLine.size >= REQUEST_LINE_PARTS && head.startLine.last().startsWith("HTTP/1.")
 
@@ -77,7 +93,9 @@
      *
      * @throws MalformedHttpException if the body is not chunked as it should be
      */
-    private suspend fun receiveChunked(socket: TcpConnection, head: HttpHead): ReceivedRequest = coroutineScope {
+    private suspend fun receiveChunked(connection: ServerConnection, head: HttpHead): ReceivedRequest = coroutineScope {
+        connection.memory.add(maxBodyBytes.toLong())
+        val socket = connection.socket
         val encoded = ByteChannel(autoFlush = true)
         val decoded = ByteChannel()
         val decoder = launch { decodeChunks(encoded, decoded) }
@@ -134,6 +152,7 @@
     private companion object {
         /** Method, target and version. */
         const val REQUEST_LINE_PARTS = 3
+        const val MEMORY_RETRY_AFTER_S = 1
         val EMPTY_BODY = ByteArray(0)
     }
 }
--- a/src/main/kotlin/io/otterknot/http/ServerConnection.kt
+++ b/src/main/kotlin/io/otterknot/http/ServerConnection.kt
@@ -15,8 +15,11 @@
 /** The request did not arrive completely within [ConnectionLimits.requestMs]. */
 internal class RequestTimeoutException : IOException("the request did not arrive completely within the request timeout")
 
-/** A connection of [HttpServer] and the times from which its [ConnectionLimits] are counted. */
-internal class ServerConnection(val socket: TcpConnection) {
+/**
+ * A connection of [HttpServer] and the times from which its [ConnectionLimits] are counted; [memory] is reserved for its
+ * current request.
+ */
+internal class ServerConnection(val socket: TcpConnection, val memory: RequestMemory.Reservation) {
     private var isAwaitingRequest = true
     private var hasHead = false
     private var idleSinceNs = System.nanoTime()
@@ -26,8 +29,9 @@
 
     private val hasRequestBegun: Boolean get() = hasHead || !socket.input.exhausted()
 
-    /** Starts the idle time; called before the next request is read. */
+    /** Starts the idle time and releases the memory of the previous request; called before the next request is read. */
     fun awaitRequest() {
+        memory.release()
         idleSinceNs = System.nanoTime()
         requestFirstSeenNs = null
         hasHead = false
@@ -47,6 +51,12 @@
         isAwaitingRequest = false
     }
 
+    /** Closes the socket and releases the memory of the current request. */
+    fun close() {
+        memory.release()
+        socket.close()
+    }
+
     /**
      * Closes the connection if it has been idle for longer than allowed. Interrupts the reading of a request that takes
      * longer than allowed to arrive.
--- a/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
+++ b/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
@@ -44,6 +44,13 @@
             connection.close()
         }
 
+    /**
+     * A request without its [rest], for which the server reserves [reservedBytes].
+     */
+    class IncompleteRequest(private val name: String, val text: String, val rest: String, val reservedBytes: Long) {
+        override fun toString() = name
+    }
+
     /**
      * A request that begins after a pause on an open connection, and requests that remain incomplete. Guards against a
      * timeout that counts from the previous response, and against connections that stay open for incomplete requests.
@@ -141,6 +148,30 @@
             listOf(refused, next, openConnections.last()).forEach { it.close() }
         }
 
+    /** Guards against small requests on many connections that together fill the heap, which ended the process. */
+    @ParameterizedTest
+    @MethodSource("incompleteRequests")
+    fun `incomplete requests use limited memory, and their end makes room for others`(case: IncompleteRequest) =
+        withServer(maxRequestMemoryBytes = case.reservedBytes * 3) { _, address, _ ->
+            val incomplete = List(3) { TcpConnection.open(loop, address) }
+            for (connection in incomplete) connection.send(case.text.encodeToByteArray())
+            delay(20)
+            val refused = TcpConnection.open(loop, address)
+            refused.send(case.text.encodeToByteArray())
+            assertEquals(503, readStatus(refused))
+            assertFalse(refused.receive(), "the connection must be closed after the response")
+            incomplete.first().close()
+            delay(20)
+            val next = TcpConnection.open(loop, address)
+            next.send((case.text + case.rest).encodeToByteArray())
+            assertEquals(200, readStatus(next))
+            // An answered request has released its memory, too.
+            val last = TcpConnection.open(loop, address)
+            last.send((case.text + case.rest).encodeToByteArray())
+            assertEquals(200, readStatus(last))
+            (incomplete + listOf(refused, next, last)).forEach { it.close() }
+        }
+
     @Test
     fun `large bodies are transferred in both directions concurrently`() = withServer { _, address, _ ->
         val client = HttpClient(loop, address, maxIdle = 8)
@@ -227,6 +258,7 @@
     private fun withServer(
         maxConnections: Int = 16,
         limits: ConnectionLimits = ConnectionLimits(),
+        maxRequestMemoryBytes: Long = 64L * MAX_BODY_BYTES,
         failureOf: (HttpRequest) -> Throwable? = { null },
         test: suspend CoroutineScope.(TestServer, HostPort, List<String>) -> Unit,
     ) = EventLoop().use { newLoop ->
@@ -235,7 +267,7 @@
             val requests = ArrayList<String>()
             lateinit var server: HttpServer
             val testServer = TestServer { server }
-            server = HttpServer(newLoop, maxConnections, MAX_BODY_BYTES, limits) { request ->
+            server = HttpServer(newLoop, maxConnections, MAX_BODY_BYTES, limits, maxRequestMemoryBytes) { request ->
                 testServer.threads.add(Thread.currentThread())
                 requests.add(describe(request))
                 failureOf(request)?.let { throw it }
@@ -282,6 +314,13 @@
             NoClassDefFoundError("thrown by the test"),
         )
 
+        @JvmStatic
+        fun incompleteRequests() = listOf(
+            IncompleteRequest("head", "GET / HTTP/1.1\r\nHost: a\r\n", "\r\n", reservedBytes = 16_384),
+            IncompleteRequest("body", "POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n", "x".repeat(9_000), 9_000),
+            IncompleteRequest("chunked body", CHUNKED, "0\r\n\r\n", reservedBytes = MAX_BODY_BYTES.toLong()),
+        )
+
         @JvmStatic
         fun slowRequestCases() = listOf(
             RequestCase(
