Messages between controllers are bounded by what a request may be

Cause: a request was bounded by the largest response (a page of the store on the relay), and nothing bounded the time of a message that had begun.

A message has 10 s from its size to its end. Responses keep 1 MiB.

Test: PeerServerTest "a frame that is too large, incomplete or malformed ends its connection" fails in two of six cases with the limits as they were; "the largest transaction can be relayed" guards the other side.

--- a/src/main/kotlin/io/otterknot/cli/ControllerProcess.kt
+++ b/src/main/kotlin/io/otterknot/cli/ControllerProcess.kt
@@ -58,7 +58,8 @@
     launch { controller.run() }
     if (operatorSettings != null) launch { operatorSettings.follow() }
     launch {
-        PeerServer(loop, controller::handlePeerRequest).serve(this, HostPort.parse("peer_listen", settings.peerListen))
+        PeerServer(loop, respond = controller::handlePeerRequest)
+            .serve(this, HostPort.parse("peer_listen", settings.peerListen))
     }
     // After a crash hundreds of workers look for a leader. Responding to each of them before the state is loaded would
     // use the little processor time that loading needs. A refused connection costs almost nothing and also makes the
--- a/src/main/kotlin/io/otterknot/peer/PeerClient.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerClient.kt
@@ -27,7 +27,7 @@
                 if (open !== reused) reused?.close()
                 connection = open
                 open.sendMessage(message)
-                open.receiveMessage().also { isAnswered = true }
+                open.receiveMessage(PeerCodec.MAX_RESPONSE_BYTES).also { isAnswered = true }
             }
         } catch (_: TimeoutCancellationException) {
             return null
--- a/src/main/kotlin/io/otterknot/peer/PeerCodec.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerCodec.kt
@@ -12,8 +12,14 @@
  * Controllers in production use this format, so it must not change; GoldenFormatTest checks it.
  */
 object PeerCodec {
-    /** The maximum size of a frame body that a controller accepts. */
-    const val MAX_FRAME_BYTES = 1_048_576
+    /** The maximum size in bytes of the body of a response that a controller accepts. */
+    const val MAX_RESPONSE_BYTES = 1_048_576
+
+    /**
+     * The maximum size in bytes of the body of a request that a controller accepts. The largest request relays a
+     * transaction of 64 KiB.
+     */
+    const val MAX_REQUEST_BYTES = 131_072
 
     private const val KIND_IDLE_PARTITION_QUERY = 1
     private const val KIND_IDLE_PARTITION_ANNOUNCEMENT = 2
--- a/src/main/kotlin/io/otterknot/peer/PeerServer.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerServer.kt
@@ -11,8 +11,15 @@
 import org.slf4j.LoggerFactory
 import java.io.IOException
 
-/** Responds to the messages of other controllers; messages of one connection are processed one after another. */
-class PeerServer(private val loop: EventLoop, private val respond: suspend (PeerMessage) -> PeerMessage) {
+/**
+ * Responds to the messages of other controllers; messages of one connection are processed one after another. A message
+ * that has begun and does not arrive completely within [messageTimeoutMs] ends its connection.
+ */
+class PeerServer(
+    private val loop: EventLoop,
+    private val messageTimeoutMs: Long = MESSAGE_TIMEOUT_MS,
+    private val respond: suspend (PeerMessage) -> PeerMessage,
+) {
     private val log = LoggerFactory.getLogger(PeerServer::class.java)
     private var openConnections = 0
 
@@ -51,7 +58,10 @@
     @Suppress("TooGenericExceptionCaught") // A failure to serve one controller must not stop this controller.
     private suspend fun serveConnection(connection: TcpConnection) {
         try {
-            while (true) connection.sendMessage(respond(connection.receiveMessage()))
+            while (true) {
+                val request = connection.receiveMessage(PeerCodec.MAX_REQUEST_BYTES, messageTimeoutMs)
+                connection.sendMessage(respond(request))
+            }
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
--- a/src/test/kotlin/io/otterknot/peer/PeerServerTest.kt
+++ b/src/test/kotlin/io/otterknot/peer/PeerServerTest.kt
@@ -2,11 +2,15 @@
 
 import io.otterknot.net.EventLoop
 import io.otterknot.net.HostPort
+import io.otterknot.net.TcpConnection
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import java.net.ServerSocket
@@ -23,13 +27,36 @@
             assertEquals(ANSWER, client.call(PeerMessage.IdlePartitionQuery, CALL_TIMEOUT_MS))
         }
 
+    /** Guards against frames that no controller sends and that fill the heap, or occupy all connections. */
+    @ParameterizedTest
+    @MethodSource("hostileFrames")
+    fun `a frame that is too large, incomplete or malformed ends its connection`(frame: HostileFrame) =
+        withServer({ ANSWER }, messageTimeoutMs = 50) { loop, address ->
+            val connection = TcpConnection.open(loop, address)
+            connection.send(frame.bytes)
+            assertFalse(withTimeout(CALL_TIMEOUT_MS) { connection.receive() })
+            connection.close()
+            assertEquals(ANSWER, PeerClient(loop, address).call(PeerMessage.IdlePartitionQuery, CALL_TIMEOUT_MS))
+        }
+
+    @Test
+    fun `the largest transaction can be relayed`() = withServer({ ANSWER }) { loop, address ->
+        val request = PeerMessage.RelayRequest("POST", "/txn", ByteArray(MAX_TRANSACTION_BYTES), 1)
+        assertEquals(ANSWER, PeerClient(loop, address).call(request, CALL_TIMEOUT_MS))
+    }
+
+    class HostileFrame(private val name: String, val bytes: ByteArray) {
+        override fun toString() = name
+    }
+
     private fun withServer(
         respond: suspend (PeerMessage) -> PeerMessage,
+        messageTimeoutMs: Long = MESSAGE_TIMEOUT_MS,
         test: suspend CoroutineScope.(EventLoop, HostPort) -> Unit,
     ) = EventLoop().use { loop ->
         loop.run {
             val address = HostPort("127.0.0.1", ServerSocket(0).use { it.localPort })
-            val server = launch { PeerServer(loop, respond).serve(this, address) }
+            val server = launch { PeerServer(loop, messageTimeoutMs, respond).serve(this, address) }
             delay(LISTEN_DELAY_MS)
             test(loop, address)
             server.cancel()
@@ -41,6 +68,19 @@
         private const val LISTEN_DELAY_MS = 10L
         private val ANSWER = PeerMessage.IdlePartitionCount(1, true)
 
+        /** The limit of the store on a transaction (PROTOCOL, "POST /txn"). */
+        private const val MAX_TRANSACTION_BYTES = 64 * 1024
+
+        @JvmStatic
+        fun hostileFrames() = listOf(
+            HostileFrame("larger than any request", byteArrayOf(0, 2, 0, 1)),
+            HostileFrame("largest size there is", byteArrayOf(127, -1, -1, -1)),
+            HostileFrame("negative size", byteArrayOf(-1, -1, -1, -1)),
+            HostileFrame("empty", byteArrayOf(0, 0, 0, 0)),
+            HostileFrame("incomplete", byteArrayOf(0, 0, 0, 9, 1)),
+            HostileFrame("array beyond the end", byteArrayOf(0, 0, 0, 9, 6, 0, 0, 0, 1, 127, -1, -1, -1)),
+        )
+
         @JvmStatic
         fun failures() = listOf(IllegalStateException("thrown by the test"), StackOverflowError("thrown by the test"))
     }
