Changes of a long pause no longer fill the heap

Seen with a real process and a stand-in of the state service (trials): a watch that is answered with 6 MiB of job records ends the process with OutOfMemoryError, with an otherwise empty heap; so do 12 and 15 MiB. PROTOCOL: such a response "holds every change and has no size limit", so a controller that was paused or cut off while others wrote gets it.

Cause: HttpClient received up to 16 MiB, and decoded to records that takes some ten times as much, of a heap of 64 MiB. Beyond 16 MiB a response counted as none, and the same watch was sent again until the store had dropped the changes.

Fix: a client receives at most 2 MiB, four times a page of the store; the length is checked before the body. A watch that is answered with more is handled like one whose changes are no longer there: all keys are read by pages, from which the watch goes on. Failures to decode answers of the store and the cloud are caught as the library documents them (IllegalArgumentException), and a negative Content-Length is refused as such.

Tests: HttpLoopTest "a response of more bytes than allowed is not received" and StoreReplicaTest "after more changes than a response may have, all keys are read by pages" fail with the limits as they were.

--- a/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
+++ b/src/main/kotlin/io/otterknot/cloud/CloudClient.kt
@@ -13,7 +13,6 @@
 import io.otterknot.wire.WireJson
 import io.otterknot.wire.decodeJson
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 
 /**
  * A client of the cloud's HTTP interface (PROTOCOL). Each call first waits for [rateLimiter], which keeps this
@@ -92,7 +91,7 @@
 
     private fun <T> parse(serializer: KSerializer<T>, response: Reply.Answer): CloudResult<T> = try {
         CloudResult.Success(decodeJson(serializer, response.text))
-    } catch (e: SerializationException) {
+    } catch (e: IllegalArgumentException) {
         CloudResult.Failure("response body cannot be decoded: ${e.message}")
     }
 
--- a/src/main/kotlin/io/otterknot/http/HttpClient.kt
+++ b/src/main/kotlin/io/otterknot/http/HttpClient.kt
@@ -9,9 +9,14 @@
 
 /**
  * An HTTP/1.1 client for [address]. Each connection carries one request at a time; up to [maxIdle] idle connections are
- * kept for later requests.
+ * kept for later requests. A response whose body has more than [maxBodyBytes] bytes is not received.
  */
-class HttpClient(private val loop: EventLoop, private val address: HostPort, private val maxIdle: Int = 3) : Transport {
+class HttpClient(
+    private val loop: EventLoop,
+    private val address: HostPort,
+    private val maxIdle: Int = 3,
+    private val maxBodyBytes: Int = DEFAULT_MAX_BODY_BYTES,
+) : Transport {
     private val idle = ArrayDeque<TcpConnection>()
 
     /** A reply and whether its connection may carry another request. */
@@ -71,20 +76,25 @@
         val status =
             head.startLine.getOrNull(1)?.toIntOrNull()
                 ?: return failed("no status code in the first line of the response")
-        val bodyBytes = head["Content-Length"]?.toIntOrNull()
-        if (bodyBytes == null || bodyBytes > MAX_BODY_BYTES) {
-            return failed("response Content-Length must be a whole number from 0 to $MAX_BODY_BYTES")
+        val bodyBytes = head["Content-Length"]?.toLongOrNull()?.takeIf { it >= 0 }
+            ?: return failed("response Content-Length is not a whole number")
+        if (bodyBytes > maxBodyBytes) {
+            val reply = Reply.None("response body of $bodyBytes bytes", isTooLarge = status == HttpStatus.OK)
+            return Exchange(reply, isReusable = false)
         }
-        if (!connection.receive(bodyBytes.toLong())) return failed("connection closed within the response body")
-        val body = connection.input.readByteArray(bodyBytes.toLong())
+        if (!connection.receive(bodyBytes)) return failed("connection closed within the response body")
+        val body = connection.input.readByteArray(bodyBytes)
         return Exchange(Reply.Answer(status, body), !head.closesConnection)
     }
 
     private fun failed(reason: String) = Exchange(Reply.None(reason), isReusable = false)
 
     private companion object {
-        /** A response with a larger body is treated as no response; pages of the key-value store have 512 KiB. */
-        const val MAX_BODY_BYTES = 16 * 1024 * 1024
+        /**
+         * Four times a page of the key-value store, the largest response but those to watches. A decoded response takes
+         * about ten times its size, which must fit into the heap.
+         */
+        const val DEFAULT_MAX_BODY_BYTES = 2 * 1024 * 1024
         const val TYPICAL_HEAD_CHARS = 128
     }
 }
--- a/src/main/kotlin/io/otterknot/http/Messages.kt
+++ b/src/main/kotlin/io/otterknot/http/Messages.kt
@@ -62,6 +62,7 @@
      * No response arrived: the request may have been carried out, may still be carried out later, or may never be.
      *
      * @property why the reason for the missing response
+     * @property isTooLarge whether a successful response arrived, but has a larger body than the client receives
      */
-    class None(val why: String) : Reply
+    class None(val why: String, val isTooLarge: Boolean = false) : Reply
 }
--- a/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
+++ b/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
@@ -16,7 +16,6 @@
 import io.otterknot.wire.WireJson
 import io.otterknot.wire.decodeJson
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
 
 /**
  * Client of the consensus-backed key-value store (PROTOCOL: `/store`, `/txn`, `/watch`, `/holds`). It keeps within this
@@ -83,7 +82,7 @@
         metrics.count("watches")
         val target = "/watch?Under=$prefix&After=$revision&WaitMs=$waitMs"
         return when (val reply = call(watchTransport, "GET", target, null, waitMs + WATCH_SLACK_MS)) {
-            is Reply.None -> WatchResult.Failed(reply.why)
+            is Reply.None -> if (reply.isTooLarge) WatchResult.TooLarge else WatchResult.Failed(reply.why)
             is Reply.Answer -> watchResult(reply)
         }
     }
@@ -149,7 +148,7 @@
     /** Returns null if the body does not follow the protocol; callers treat that like a missing answer. */
     private fun <T> parse(serializer: KSerializer<T>, reply: Reply.Answer): T? = try {
         decodeJson(serializer, reply.text)
-    } catch (_: SerializationException) {
+    } catch (_: IllegalArgumentException) {
         null
     }
 
--- a/src/main/kotlin/io/otterknot/store/ReplicaWatcher.kt
+++ b/src/main/kotlin/io/otterknot/store/ReplicaWatcher.kt
@@ -41,6 +41,11 @@
                     loadOrDelay()
                 }
 
+                WatchResult.TooLarge -> {
+                    log.warn("revision={} watch response too large; reloading all keys", contents.revision.value)
+                    loadOrDelay()
+                }
+
                 is WatchResult.Failed -> {
                     log.info("error={} replica watch failed", result.reason)
                     delay(WATCH_RETRY_DELAY_MS + random.nextLong(WATCH_RETRY_JITTER_MS))
--- a/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
+++ b/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import java.io.IOException
 
@@ -236,6 +237,42 @@
             Unit
         }
 
+    /** Guards against a response that fills the heap, or whose length makes the client fail. */
+    @ParameterizedTest
+    @CsvSource(
+        "200, 1000, true, false",
+        "200, 1001, false, true",
+        "200, 99999999999, false, true",
+        "503, 1001, false, false",
+        "200, -1, false, false",
+        "200, 99999999999999999999, false, false",
+        "200, x, false, false",
+    )
+    fun `a response of more bytes than allowed is not received`(
+        status: Int,
+        length: String,
+        isAnswered: Boolean,
+        isTooLarge: Boolean,
+    ) = EventLoop().use { loop ->
+        loop.run {
+            val listener = TcpListener.bind(loop, HostPort("127.0.0.1", 0))
+            val server = launch {
+                val connection = listener.accept()
+                connection.receive()
+                connection.send("HTTP/1.1 $status Status\r\nContent-Length: $length\r\n\r\n".encodeToByteArray())
+                connection.send(ByteArray(1_000))
+                connection.receive()
+                connection.close()
+            }
+            val client = HttpClient(loop, HostPort("127.0.0.1", listener.port), maxIdle = 0, maxBodyBytes = 1_000)
+            val reply = client.call("GET", "/", null, CALL_TIMEOUT_MS)
+            assertEquals(isAnswered, reply is Reply.Answer)
+            assertEquals(isTooLarge, (reply as? Reply.None)?.isTooLarge ?: false)
+            server.join()
+            listener.close()
+        }
+    }
+
     @Test
     fun `a call to an address without a listener returns no response`() = EventLoop().use { loop ->
         loop.run {
--- a/src/test/kotlin/io/otterknot/store/StoreReplicaTest.kt
+++ b/src/test/kotlin/io/otterknot/store/StoreReplicaTest.kt
@@ -126,6 +126,40 @@
         background.cancel()
     }
 
+    /**
+     * Guards against the changes of a long outage, which fill the heap when they are decoded, or are requested again
+     * and again if they are refused.
+     */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `after more changes than a response may have, all keys are read by pages`() = runTest {
+        var watchRequests = 0
+        val fixture = StoreFixture(this, watchTransport = { store ->
+            val link = store.link("n")
+            Transport { method, target, body, timeoutMs ->
+                watchRequests++
+                val reply = link.call(method, target, body, timeoutMs)
+                val isTooLarge = reply is Reply.Answer && reply.body.size > 1_000
+                if (isTooLarge) Reply.None("too large", isTooLarge = true) else reply
+            }
+        })
+        val replica = fixture.replica
+        val background = launch { replica.followWatch() }
+        replica.awaitLoaded()
+        fixture.state.stalledWatchNode = "n"
+        repeat(100) { fixture.state.store(KeyChange(put = "o/x/$it", value = JsonPrimitive(it))) }
+        fixture.state.stalledWatchNode = null
+        watchRequests = 0
+        delay(1_000)
+        assertEquals(JsonPrimitive(99), replica["o/x/99"]?.value)
+        assertEquals(fixture.state.revision, replica.revision)
+        fixture.state.store(KeyChange(put = "o/x/a", value = JsonPrimitive(7)))
+        delay(1_000)
+        assertEquals(JsonPrimitive(7), replica["o/x/a"]?.value)
+        assertTrue(watchRequests <= 3, "$watchRequests watches")
+        background.cancel()
+    }
+
     @OptIn(ExperimentalCoroutinesApi::class)
     @Test
     fun `a read barrier does not pass while the watch delivers no events`() = runTest {
--- a/src/test/kotlin/io/otterknot/testing/StoreFixture.kt
+++ b/src/test/kotlin/io/otterknot/testing/StoreFixture.kt
@@ -24,12 +24,13 @@
 class StoreFixture(
     scope: TestScope,
     changesPerS: Double = 1_000.0,
+    watchTransport: (FakeKeyValueStore) -> Transport = { it.link("n") },
     transport: (FakeKeyValueStore) -> Transport = { it.link("n") },
 ) {
     val now: () -> Long = { scope.testScheduler.currentTime }
     val state = FakeKeyValueStore(scope, Random(1), now)
     val budget = RateLimiter(1_000.0, changesPerS, now)
-    val client = KeyValueStoreClient(transport(state), state.link("n"), budget, Metrics(now))
+    val client = KeyValueStoreClient(transport(state), watchTransport(state), budget, Metrics(now))
     val replica = StoreReplica(client, Random(1), now, pauseMs = 20)
 
     /** Returns a job table that follows the changes of [replica] from now on. */
