A hostile settings file is refused before it exhausts the process

Seen (trials on a stack of 256 KiB and a heap of 64 MiB): 500 nested lists, or as many tags, in the operators' file overflow the stack of every running controller within five seconds of the change; `#uuid "x"` throws an exception that nobody caught, and ends it too. In the platform's file 500 nested arrays of an unknown setting overflow the stack at the start, and a name of 1,000 parts (2 KB) fills the heap; the start then ends with a stack trace in place of one line and exit code 2.

Cause: both libraries recurse without a limit, the files were read whatever their size, and only EdnException was expected of a tag's value.

A failed reload never ends the controller: the previous settings stay in force.

--- a/src/main/kotlin/io/otterknot/config/OperatorSettings.kt
+++ b/src/main/kotlin/io/otterknot/config/OperatorSettings.kt
@@ -4,7 +4,6 @@
 import us.bpsm.edn.parser.Parser
 import us.bpsm.edn.parser.Parsers
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.NoSuchFileException
 import java.nio.file.Path
 
@@ -20,7 +19,7 @@
      */
     fun read(path: Path): OperatorSettings {
         val text = try {
-            Files.readString(path)
+            readSettingsText(path)
         } catch (ignored: NoSuchFileException) {
             // The file is optional.
             return OperatorSettings()
@@ -62,16 +61,22 @@
         val source = Parsers.newParseable(text)
         val sections = ArrayList<SettingsSection>()
         try {
+            checkNestingOfExpressions(text)
             while (true) {
                 val form = parser.nextValue(source)
                 if (form === Parser.END_OF_INPUT) return sections
                 sections.add(SettingsSection.of(form))
             }
         } catch (e: EdnException) {
-            throw InvalidSettingsException(
-                "not S-expressions, for example (load-spread :mode off): ${e.message.orEmpty().lineSequence().first()}",
-                e,
-            )
+            throw notExpressions(e)
+        } catch (e: IllegalArgumentException) {
+            // From the value of a tag, such as #uuid "x".
+            throw notExpressions(e)
         }
     }
+
+    private fun notExpressions(e: RuntimeException) = InvalidSettingsException(
+        "not S-expressions, for example (load-spread :mode off): ${e.message.orEmpty().lineSequence().first()}",
+        e,
+    )
 }
--- a/src/main/kotlin/io/otterknot/config/OperatorSettingsFollower.kt
+++ b/src/main/kotlin/io/otterknot/config/OperatorSettingsFollower.kt
@@ -26,7 +26,8 @@
         }
     }
 
-    /** Reloads the file if its [Fingerprint] has changed. */
+    /** Reloads the file if its [Fingerprint] has changed. No failure to read it ends the controller. */
+    @Suppress("TooGenericExceptionCaught")
     fun reloadIfChanged() {
         val currentFingerprint = fingerprint()
         if (currentFingerprint == lastFingerprint) return
@@ -35,10 +36,15 @@
             current = OperatorSettingsFile.read(path)
             log.info("settings={} operators' file reloaded", current)
         } catch (e: InvalidSettingsException) {
-            log.error("error=\"{}\" changed operators' file rejected, previous settings stay in force", e.message)
+            logRejection(e)
+        } catch (e: RuntimeException) {
+            logRejection(e)
         }
     }
 
+    private fun logRejection(e: Exception) =
+        log.error("error=\"{}\" changed operators' file rejected, previous settings stay in force", e.message)
+
     /** Returns the fingerprint of the file, or null if it does not exist or cannot be read. */
     private fun fingerprint(): Fingerprint? = try {
         Fingerprint(Files.getLastModifiedTime(path).toMillis(), Files.size(path))
--- a/src/main/kotlin/io/otterknot/config/SettingsFile.kt
+++ b/src/main/kotlin/io/otterknot/config/SettingsFile.kt
@@ -5,7 +5,6 @@
 import io.otterknot.net.HostPort
 import kotlinx.serialization.SerializationException
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 
 /** Reads and checks the platform's settings file (TOML). Unknown fields are ignored. */
@@ -23,7 +22,7 @@
      */
     fun read(path: Path): Settings {
         val text = try {
-            Files.readString(path)
+            readSettingsText(path)
         } catch (e: IOException) {
             throw InvalidSettingsException("cannot read the settings file $path: ${reasonOf(e)}", e)
         }
@@ -40,6 +39,7 @@
      * @throws InvalidSettingsException if it is not TOML, or a setting is missing or out of range
      */
     fun parse(text: String): Settings {
+        checkNestingOfToml(text)
         val settings = try {
             toml.decodeFromString(Settings.serializer(), text)
         } catch (e: SerializationException) {
--- a/src/test/kotlin/io/otterknot/config/OperatorSettingsTest.kt
+++ b/src/test/kotlin/io/otterknot/config/OperatorSettingsTest.kt
@@ -1,5 +1,6 @@
 package io.otterknot.config
 
+import io.otterknot.testing.onControllerStack
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertThrows
@@ -7,6 +8,7 @@
 import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.MethodSource
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -39,6 +41,28 @@
         assertFalse('\n' in exception.message.orEmpty())
     }
 
+    /** Guards against a file that ends every running controller within seconds, as the library's errors did. */
+    @ParameterizedTest
+    @MethodSource("hostileFiles")
+    fun `a hostile file is rejected in one line, and the previous settings stay in force`(
+        file: HostileFile,
+        @TempDir directory: Path,
+    ) {
+        val path = Files.writeString(directory.resolve("operators.sexp"), "(load-spread :mode act)")
+        val follower = OperatorSettingsFollower(path, OperatorSettingsFile.read(path))
+        Files.writeString(path, file.text)
+        onControllerStack {
+            val exception = assertThrows(InvalidSettingsException::class.java) { OperatorSettingsFile.read(path) }
+            assertFalse('\n' in exception.message.orEmpty())
+            follower.reloadIfChanged()
+        }
+        assertEquals(LoadSpreadMode.ACT, follower.current.loadSpread.mode)
+    }
+
+    class HostileFile(private val name: String, val text: String) {
+        override fun toString() = name
+    }
+
     @Test
     fun `settings in the file are applied, all others have their defaults, and comments are ignored`() {
         val text = "; a comment\n(load-spread :mode act :margin-s 5 :hand-overs false :sampled-machines 7)"
@@ -48,6 +72,12 @@
         assertEquals(OperatorSettings(), OperatorSettingsFile.parse(""))
     }
 
+    @Test
+    fun `brackets in comments, strings and characters, and discarded sections are no nesting`() {
+        val text = "; ${"(".repeat(100)}\n#_ (x \"${"[".repeat(100)}\" \\[ \\{) (load-spread :mode act)"
+        assertEquals(LoadSpreadMode.ACT, OperatorSettingsFile.parse(text).loadSpread.mode)
+    }
+
     @Test
     fun `a changed or deleted file takes effect and an invalid file leaves the settings unchanged`(
         @TempDir directory: Path,
@@ -67,4 +97,21 @@
             assertEquals(mode, follower.current.loadSpread.mode, "$text")
         }
     }
+
+    companion object {
+        private const val LEVELS = 20_000
+
+        @JvmStatic
+        fun hostileFiles() = listOf(
+            HostileFile("lists", "(".repeat(LEVELS) + ")".repeat(LEVELS)),
+            HostileFile("lists that are not closed", "(".repeat(LEVELS)),
+            HostileFile("maps in a setting", "(load-spread :mode " + "{1 ".repeat(LEVELS) + "}".repeat(LEVELS) + ")"),
+            HostileFile("tags", "#a ".repeat(LEVELS) + "1"),
+            HostileFile("tagged lists", "#a (".repeat(LEVELS) + ")".repeat(LEVELS)),
+            HostileFile("discarded values", "#_ ".repeat(LEVELS) + "1"),
+            HostileFile("a value that its tag does not allow", "(load-spread :mode #uuid \"x\")"),
+            HostileFile("too large", "(load-spread :mode act) ;" + "x".repeat(MAX_SETTINGS_BYTES)),
+            HostileFile("a long number", "(load-spread :margin-s " + "9".repeat(LEVELS) + ")"),
+        )
+    }
 }
--- a/src/test/kotlin/io/otterknot/config/SettingsFileTest.kt
+++ b/src/test/kotlin/io/otterknot/config/SettingsFileTest.kt
@@ -1,13 +1,16 @@
 package io.otterknot.config
 
 import io.otterknot.leadership.LeadershipSettings
+import io.otterknot.testing.onControllerStack
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.MethodSource
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -53,6 +56,25 @@
         list_lag_s = 4.0
     """.trimIndent()
 
+    /** Guards against a file that ends the start with a stack trace, or only when the heap is full. */
+    @ParameterizedTest
+    @MethodSource("hostileSettings")
+    fun `a hostile file is rejected in one line`(hostile: String, @TempDir directory: Path) {
+        val path = Files.writeString(directory.resolve("settings.toml"), "$hostile\n$validSettings")
+        val exception = assertThrows(InvalidSettingsException::class.java) {
+            onControllerStack { SettingsFile.read(path) }
+        }
+        assertFalse('\n' in exception.message.orEmpty())
+    }
+
+    @Test
+    fun `brackets and dots in strings and comments are no nesting`() {
+        val text = "x = \"${"[.".repeat(
+            100,
+        )}\" # ${"[.".repeat(100)}\ny = [1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 9.0]"
+        assertEquals("n0", SettingsFile.parse("$text\n$validSettings").label)
+    }
+
     @Test
     fun `settings are read and unknown fields ignored`() {
         val settings = SettingsFile.parse(validSettings)
@@ -134,4 +156,14 @@
         val exception = assertThrows(InvalidSettingsException::class.java) { SettingsFile.parse(bad) }
         assertEquals("label is \"\\n\", but must be a name that is not blank", exception.message)
     }
+
+    companion object {
+        @JvmStatic
+        fun hostileSettings() = listOf(
+            "x = " + "[".repeat(20_000) + "]".repeat(20_000),
+            "a.".repeat(20_000) + "x = 1",
+            "[" + "a.".repeat(20_000) + "x]\ny = 1",
+            "# " + "x".repeat(MAX_SETTINGS_BYTES),
+        )
+    }
 }
