A heartbeat with an endless name is refused

Names of machines are kept for each redirected worker, and the leader writes them to its records: one machine with such a name makes a value that the store refuses, which also lowers the write limits of the process (store.WriteLimits), and some hundred of them fill the heap of 64 MiB.

Fix: a name has at most 200 characters, as in a submission and as the keys of the store; the heartbeat gets its 400 before anything is kept.

--- a/src/main/kotlin/io/otterknot/wire/Heartbeats.kt
+++ b/src/main/kotlin/io/otterknot/wire/Heartbeats.kt
@@ -144,13 +144,13 @@
 data class LeaderRedirect(@SerialName("AnswerTo") val leader: String? = null)
 
 /**
- * Decodes a heartbeat and checks its number ranges, task names and task states.
+ * Decodes a heartbeat and checks the length of its names, its number ranges, task names and task states.
  *
  * @throws MalformedMessageException if the body cannot be decoded or a check fails; its message is sent to the worker
  */
 fun parseHeartbeat(body: ByteArray): Heartbeat {
     val heartbeat = decodeHeartbeat(body)
-    if (!heartbeat.hasValidIdentity()) throw MalformedMessageException("Holt, Dive, Ripple or Warrant out of range")
+    heartbeat.findIdentityProblem()?.let { throw MalformedMessageException(it) }
     for (status in heartbeat.tasks) {
         TaskName.parse(status.task)
         if (status.state == TaskState.UNRECOGNIZED) throw MalformedMessageException("Mood of a task is unknown")
@@ -169,4 +169,13 @@
     else -> "not a report"
 }
 
-private fun Heartbeat.hasValidIdentity() = machine.isNotEmpty() && epoch >= 1 && sequence >= 0 && fencingToken >= 0
+/** Returns what is wrong with the names and numbers of the heartbeat itself, or null if nothing is. */
+private fun Heartbeat.findIdentityProblem(): String? {
+    val longestName = maxOf(machine.length, endpoint.length, type.length, zone.length)
+    val isInRange = machine.isNotEmpty() && epoch >= 1 && sequence >= 0 && fencingToken >= 0
+    return when {
+        longestName > MAX_TEXT_LENGTH -> "Holt, Endpoint, Breed or Reach is too long"
+        !isInRange -> "Holt, Dive, Ripple or Warrant out of range"
+        else -> null
+    }
+}
--- a/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
+++ b/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
@@ -13,6 +13,9 @@
  */
 const val MAX_BODY_BYTES = 64 * 1024
 
+/** The maximum length of a name or other text in a message, in characters; the keys of the store have the same. */
+internal const val MAX_TEXT_LENGTH = 200
+
 /**
  * Decodes and checks a submission.
  *
@@ -133,8 +136,4 @@
         if (!number.isFinite() || number < 0) throw MalformedMessageException("$name is negative or not finite")
         return number
     }
-
-    private companion object {
-        const val MAX_TEXT_LENGTH = 200
-    }
 }
--- a/src/test/kotlin/io/otterknot/wire/WireTest.kt
+++ b/src/test/kotlin/io/otterknot/wire/WireTest.kt
@@ -115,6 +115,20 @@
         assertThrows(MalformedMessageException::class.java) { parseHeartbeat(body.encodeToByteArray()) }
     }
 
+    /** Guards against names that fill the heap, where they are kept, or a record, where they are stored. */
+    @ParameterizedTest
+    @CsvSource("Holt,m", "Endpoint,e", "Breed,g", "Reach,a", "Chore,j-1/0")
+    fun `a heartbeat with a name that is too long is refused`(field: String, value: String) {
+        val body = """{"Holt":"m","Endpoint":"e","Breed":"g","Reach":"a","Dive":1,"Ripple":1,""" +
+            """"Chores":[{"Chore":"j-1/0","Try":1,"Mood":"running"}]}"""
+        for ((length, isValid) in listOf(200 to true, 201 to false, 60_000 to false)) {
+            val changed = body.replace(""""$field":"$value"""", """"$field":"${value.padStart(length, 'x')}"""")
+            val read = runCatching { parseHeartbeat(changed.encodeToByteArray()) }
+            assertEquals(isValid, read.isSuccess, "$field of $length characters")
+            assertTrue(isValid || read.exceptionOrNull() is MalformedMessageException)
+        }
+    }
+
     @ParameterizedTest
     @CsvSource(
         "done,DONE",
