Soak: hostile clients at real controller processes

Besides the faults, clients send each controller malformed submissions and heartbeats (nested, random bytes, damaged JSON), random and incomplete frames at the port of its peers, and requests without end on up to 150 connections at a time. A malformed request has to be refused with 400, or with 503 by a controller that cannot decide; every fifth job has an unknown field of 30,000 nested arrays and has to be accepted and run like any other. A run in which no malformed request was refused fails.

--- a/src/test/kotlin/io/otterknot/soak/SoakCluster.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakCluster.kt
@@ -82,6 +82,11 @@
         listeners.forEach(TcpListener::close)
     }
 
+    /** The ports at which clients reach each controller. */
+    fun controllerPorts(): List<ControllerPorts> = nodes.map {
+        ControllerPorts(HostPort(LOOPBACK, ports.workersAndUsers(it)), HostPort(LOOPBACK, ports.peers(it)))
+    }
+
     override fun machines(): List<SimulatedWorker> = cloud.workers.toList()
 
     override fun partitionLeaders(): Map<String, String> = leaderRecords().mapValues { it.value.leader }
--- a/src/test/kotlin/io/otterknot/soak/SoakRun.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakRun.kt
@@ -2,6 +2,7 @@
 
 import io.otterknot.net.EventLoop
 import io.otterknot.testing.CANCEL_S
+import io.otterknot.testing.submissionBody
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.Priority
 import kotlinx.coroutines.CoroutineScope
@@ -17,13 +18,10 @@
     val seed: Long,
     val problems: List<String>,
     val jobs: Int,
-    val starts: Int,
-    val cancellations: Int,
-    val leaderChanges: Int,
+    val activity: SoakActivity,
     val faults: List<String>,
 ) {
-    override fun toString() = "seed $seed: jobs $jobs starts $starts cancellations $cancellations " +
-        "leader changes $leaderChanges faults ${faults.size} problems ${problems.size}"
+    override fun toString() = "seed $seed: jobs $jobs $activity problems ${problems.size}"
 }
 
 /**
@@ -34,6 +32,8 @@
     private val cluster = SoakCluster(scope, loop, options)
     private val checks = cluster.checks
     private val jobRandom = Random(options.seed * SEED_FACTOR + 1)
+    private val hostileClients =
+        HostileClients(loop, Random(options.seed * SEED_FACTOR + HOSTILE_SEED), cluster.controllerPorts())
     private val faults = ArrayList<String>()
     private val problems = LinkedHashSet<String>()
     private var leaderChanges = 0
@@ -45,8 +45,10 @@
             delay(WARM_UP_MS)
             val untilMs = cluster.nowMs() + options.faultSeconds * MS_PER_S
             val submission = scope.launch { submitJobs() }
+            val hostility = scope.launch { hostileClients.run() }
             coroutineScope { repeat(FAULT_LANES) { lane -> launch { injectFaults(lane, untilMs) } } }
             submission.cancel()
+            hostility.cancel()
             cluster.nodes.forEach(cluster::startNode)
             checks.faultsClearedMs = cluster.nowMs()
             awaitEnd(observer)
@@ -74,11 +76,19 @@
         cluster.users.requestBursts = true
         for (number in 1..MAX_JOBS) {
             val cancelAfterMs = if (jobRandom.nextInt(4) == 0) jobRandom.nextLong(MAX_CANCEL_DELAY_MS) else null
-            cluster.users.startUser(drawJob(number), cancelAfterMs)
+            val job = drawJob(number)
+            val body = if (number % NESTED_JOB_INTERVAL == 0) nestedSubmissionBody(job) else submissionBody(job)
+            cluster.users.startUser(job, cancelAfterMs, body)
             delay(jobRandom.nextLong(2 * MEAN_JOB_INTERVAL_MS))
         }
     }
 
+    /** A valid submission of [job] with an unknown field of the deepest nesting that the limit on its size allows. */
+    private fun nestedSubmissionBody(job: JobSpec): ByteArray {
+        val known = submissionBody(job).decodeToString().removeSuffix("}")
+        return (known + ",\"Extra\":" + "[".repeat(NESTED_LEVELS) + "]".repeat(NESTED_LEVELS) + "}").encodeToByteArray()
+    }
+
     private fun drawJob(number: Int): JobSpec {
         val isUrgent = jobRandom.nextInt(3) != 0
         return JobSpec(
@@ -122,19 +132,13 @@
 
     private fun result(): SoakResult {
         problems.addAll(checks.violations)
+        problems.addAll(hostileClients.violations)
         problems.addAll(cluster.errorLines().map { "error line: $it" })
         val cancellations = checks.specs.keys.count(checks::isCancelled)
-        problems.addAll(SoakActivity(checks.starts, cancellations, leaderChanges, faults.size).problems())
-        val result =
-            SoakResult(
-                options.seed,
-                problems.toList(),
-                checks.specs.size,
-                checks.starts,
-                cancellations,
-                leaderChanges,
-                faults,
-            )
+        val activity =
+            SoakActivity(checks.starts, cancellations, leaderChanges, faults.size, hostileClients.refusals)
+        problems.addAll(activity.problems())
+        val result = SoakResult(options.seed, problems.toList(), checks.specs.size, activity, faults)
         write(result)
         return result
     }
@@ -149,6 +153,13 @@
     private companion object {
         const val MS_PER_S = 1_000L
         const val SEED_FACTOR = 1_000L
+
+        /** Apart from the seeds of the jobs and of the faults. */
+        const val HOSTILE_SEED = 500
+
+        /** Every job of this number has an unknown field that nests. */
+        const val NESTED_JOB_INTERVAL = 5
+        const val NESTED_LEVELS = 30_000
         const val WARM_UP_MS = 6_000L
         const val OBSERVATION_MS = 250L
         const val FAULT_LANES = 3
--- /dev/null
+++ b/src/test/kotlin/io/otterknot/testing/HostileText.kt
@@ -0,0 +1,57 @@
+package io.otterknot.testing
+
+import kotlin.random.Random
+
+/** Texts, drawn by [random], that are JSON, nearly JSON or nested without end. */
+class HostileText(private val random: Random) {
+    fun json(): String = if (random.nextInt(3) == 0) fragments() else damaged(value(budget = 6))
+
+    /** A message of [fields], of which one is replaced, or to which one is added. */
+    fun withField(fields: List<String>): String {
+        val name = (fields.map { it.substringBefore(':') } + "\"Extra\"").random(random)
+        val others = fields.filter { !it.startsWith("$name:") }
+        return (others + "$name:${json()}").shuffled(random).joinToString(",", "{", "}")
+    }
+
+    private fun value(budget: Int): String = when (if (budget == 0) random.nextInt(2) else random.nextInt(6)) {
+        0 -> SCALARS.random(random)
+        1 -> "\"" + List(random.nextInt(4)) { STRING_PARTS.random(random) }.joinToString("") + "\""
+        2 -> List(random.nextInt(4)) { value(budget - 1) }.joinToString(",", "[", "]")
+        3 -> List(random.nextInt(4)) { "\"k$it\":" + value(budget - 1) }.joinToString(",", "{", "}")
+        4 -> levels().let { "[".repeat(it) + value(budget - 1) + "]".repeat(it) }
+        else -> (levels() / 3).let { "{\"a\":[".repeat(it) + value(budget - 1) + "]}".repeat(it) }
+    }
+
+    /** Often near a multiple of the limit, where arrays and objects begin to be replaced. */
+    private fun levels() = when (random.nextInt(3)) {
+        0 -> random.nextInt(1, 4)
+        1 -> (NESTING_LIMIT * random.nextInt(1, 4) + random.nextInt(-2, 3))
+        else -> random.nextInt(MAX_LEVELS)
+    }
+
+    /** Inserts, removes or doubles a piece of [text], or leaves it as it is. */
+    private fun damaged(text: String): String {
+        val at = random.nextInt(text.length + 1)
+        val until = minOf(text.length, at + random.nextInt(1, 4))
+        return when (random.nextInt(5)) {
+            0 -> text.take(at) + FRAGMENTS.random(random) + text.drop(at)
+            1 -> text.take(at) + text.drop(until)
+            2 -> text.take(at)
+            else -> text
+        }
+    }
+
+    private fun fragments() = List(random.nextInt(8)) {
+        FRAGMENTS.random(random).repeat(if (random.nextInt(3) == 0) random.nextInt(MAX_LEVELS) else 1)
+    }.joinToString("")
+
+    private companion object {
+        /** Where the reader of JSON begins to replace what is nested. */
+        const val NESTING_LIMIT = 64
+        const val MAX_LEVELS = 9_000
+        val SCALARS = listOf("1", "-0.5e3", "true", "null", "1e999", "9".repeat(400), "0x1p3", "NaN", "01", "j")
+        val STRING_PARTS = listOf("a", "\\\"", "\\\\", "[", "]}", "{", "\\u00e9", "ł", ",", ":", "\\n", "😀")
+        val FRAGMENTS =
+            "[ ] { } \" \\ , : null 1 \"a\": [] {\"a\": \n \u0000".split(' ') + " "
+    }
+}
--- a/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
@@ -73,15 +73,15 @@
     // ---- users
 
     /**
-     * Submits [spec] until a node accepts it, then polls it. If [cancelAfterMs] is not null, the user cancels the job
+     * Submits [spec], as [body], until a node accepts it, then polls it. If [cancelAfterMs] is not null, the user cancels the job
      * that long after its acceptance.
      */
-    fun startUser(spec: JobSpec, cancelAfterMs: Long?) = scope.launch {
+    fun startUser(spec: JobSpec, cancelAfterMs: Long?, body: ByteArray = submissionBody(spec)) = scope.launch {
         checks.specs[spec.id] = spec
         val connection = Connection()
         // Users list only accepted jobs as dependencies.
         while (spec.dependencies.orEmpty().any { !checks.isAccepted(it) }) delay(100)
-        submit(spec, connection)
+        submit(spec, body, connection)
         val accepted = nowMs()
         while (true) {
             delay(500 + random.nextLong(2_000))
@@ -97,10 +97,10 @@
         }
     }
 
-    private suspend fun submit(spec: JobSpec, connection: Connection) {
+    private suspend fun submit(spec: JobSpec, body: ByteArray, connection: Connection) {
         while (true) {
             val before = checks.lastReportedState(spec.id)
-            val response = connection.request("POST", "/submissions", submissionBody(spec), WRITE_WAIT_MS)
+            val response = connection.request("POST", "/submissions", body, WRITE_WAIT_MS)
             if (response != null && response.status in 200..201) {
                 checks.onAccepted(spec)
                 handleAnswer(spec, response, before)
