A submission with values that are not JSON gets its 400

Users saw: a submission with `"Extra":abc` was accepted with 201, and `"Cores":8f` was read as 8; PROTOCOL: "400 | malformed: not JSON". Seen while the reader was tested with damaged texts.

Cause: kotlinx.serialization takes every word without quotes for a literal, and allows control characters in strings; it has no stricter mode.

Fix: the strings and literals of a submission are checked against RFC 8259 before it is parsed; how they are put together is still the library's part.

--- a/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
+++ b/src/main/kotlin/io/otterknot/wire/JobSubmission.kt
@@ -63,7 +63,9 @@
     parseElement(body) as? JsonObject ?: throw MalformedMessageException("not a JSON object")
 
 private fun parseElement(body: ByteArray): JsonElement = try {
-    parseJson(body.decodeToString(throwOnInvalidSequence = true))
+    val text = body.decodeToString(throwOnInvalidSequence = true)
+    if (!hasValidJsonTokens(text)) throw MalformedMessageException("not JSON")
+    parseJson(text)
 } catch (_: SerializationException) {
     throw MalformedMessageException("not JSON")
 } catch (_: CharacterCodingException) {
--- a/src/main/kotlin/io/otterknot/wire/JsonNesting.kt
+++ b/src/main/kotlin/io/otterknot/wire/JsonNesting.kt
@@ -25,7 +25,7 @@
     var index = 0
     while (index < text.length) {
         when (text[index]) {
-            '"' -> index = endOfString(text, index)
+            '"' -> index = endOfJsonString(text, index)
             '[', '{' -> if (++depth > MAX_JSON_NESTING) return true
             ']', '}' -> depth--
         }
@@ -35,7 +35,7 @@
 }
 
 /** Returns the index of the quotation mark that ends the string beginning at [start], or the end of [text]. */
-private fun endOfString(text: String, start: Int): Int {
+internal fun endOfJsonString(text: String, start: Int): Int {
     var index = start + 1
     while (index < text.length && text[index] != '"') index += if (text[index] == '\\') 2 else 1
     return minOf(index, text.length)
@@ -55,7 +55,7 @@
     fun reduce(): String {
         var index = 0
         while (index < text.length) {
-            val end = if (text[index] == '"') minOf(endOfString(text, index), text.length - 1) else index
+            val end = if (text[index] == '"') minOf(endOfJsonString(text, index), text.length - 1) else index
             if (text[index] == '[' || text[index] == '{') open()
             reduced.append(text, index, end + 1)
             if (text[index] == ']' || text[index] == '}') close()
--- a/src/test/kotlin/io/otterknot/wire/NestedMessageTest.kt
+++ b/src/test/kotlin/io/otterknot/wire/NestedMessageTest.kt
@@ -116,6 +116,11 @@
             InvalidSubmission("arrays for a text", submission("\"Reach\":$arrays"), "Reach is not a string"),
             InvalidSubmission("arrays in a list of names", submission("\"Breeds\":$arrays"), "Breeds is not a string"),
             InvalidSubmission("objects for a list", submission("\"Awaits\":${objects()}"), "Awaits is not a list"),
+            InvalidSubmission(
+                "a number without end",
+                submission("\"DueS\":${"9".repeat(60_000)}"),
+                "DueS is negative or not finite",
+            ),
             InvalidSubmission("arrays for the id", """{"Uid":$arrays}""", "Uid is not a string"),
         )
 
--- a/src/test/kotlin/io/otterknot/wire/WireTest.kt
+++ b/src/test/kotlin/io/otterknot/wire/WireTest.kt
@@ -98,6 +98,35 @@
         assertThrows(MalformedMessageException::class.java) { parseSubmission(body.encodeToByteArray()) }
     }
 
+    /** Guards against text that is not JSON and is accepted as a job, since the JSON library is lenient. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "8f", "8d", "0x1p3", "08", "+8", "8.", ".8", "8e", "-", "8 8", "NaN", "Infinity", "abc", "True", "nulll",
+            "'a'", "\"a\nb\"", "\"a\u0000b\"", "[8f]", "[[abc]]", "{\"a\":{\"b\":08}}", "8\u00a0",
+        ],
+    )
+    fun `a submission with a value that is not JSON is refused`(value: String) {
+        for (field in listOf("Cores", "Extra")) {
+            val body = validSubmission.replace("\"Cores\":8.0", "\"Cores\":8.0,\"$field\":$value")
+            val failure =
+                assertThrows(MalformedMessageException::class.java) { parseSubmission(body.encodeToByteArray()) }
+            assertEquals("not JSON", failure.message)
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "0", "-0", "8", "8.25", "-8.25e-3", "8E+2", "true", "false", "null", "\"\"", "\"a\\nb \\u0000 é\"", " [ ] ",
+            "\t{\r\n}", "[1, 2]", "\"\\\"\"",
+        ],
+    )
+    fun `a submission with any JSON value in an unknown field is decoded`(value: String) {
+        val body = validSubmission.replace("{\"a\":1}", value)
+        assertEquals("j-000412", parseSubmission(body.encodeToByteArray()).id)
+    }
+
     @ParameterizedTest
     @ValueSource(
         strings = [
