Bounds on input: logic that stood twice stands once

- JsonNesting keeps the open brackets in fastutil's IntArrayList, in place of an array grown by hand, and the end of a string is computed in one form for the three scanners.
- The reload of the operators' file runs as a background task like the others, which logs and restarts what fails, in place of a broad catch of its own.
An unexpected exception is now logged as `background_task=operator-settings`; the previous settings stay in force as before.
- RequestReader refuses a request for lack of memory by the function that builds its other refusals; ReplicaWatcher has one function for its reloads, with the same lines in the log.
Assertions, cases and draws are as they were, except that the submissions of NestedMessageTest are built from smallJob.

--- a/src/main/kotlin/io/otterknot/cli/ControllerProcess.kt
+++ b/src/main/kotlin/io/otterknot/cli/ControllerProcess.kt
@@ -4,6 +4,7 @@
 import io.otterknot.config.OperatorSettingsFollower
 import io.otterknot.config.Settings
 import io.otterknot.config.parse
+import io.otterknot.controller.BackgroundTasks
 import io.otterknot.controller.Controller
 import io.otterknot.controller.ControllerTransports
 import io.otterknot.http.HttpClient
@@ -56,7 +57,7 @@
     )
     val server = HttpServer(loop, maxConnections, MAX_BODY_BYTES, handler = controller::handleRequest)
     launch { controller.run() }
-    if (operatorSettings != null) launch { operatorSettings.follow() }
+    if (operatorSettings != null) BackgroundTasks(this).start("operator-settings") { operatorSettings.follow() }
     launch {
         PeerServer(loop, respond = controller::handlePeerRequest)
             .serve(this, HostPort.parse("peer_listen", settings.peerListen))
--- a/src/main/kotlin/io/otterknot/config/OperatorSettingsFollower.kt
+++ b/src/main/kotlin/io/otterknot/config/OperatorSettingsFollower.kt
@@ -26,8 +26,7 @@
         }
     }
 
-    /** Reloads the file if its [Fingerprint] has changed. No failure to read it ends the controller. */
-    @Suppress("TooGenericExceptionCaught")
+    /** Reloads the file if its [Fingerprint] has changed. */
     fun reloadIfChanged() {
         val currentFingerprint = fingerprint()
         if (currentFingerprint == lastFingerprint) return
@@ -36,15 +35,10 @@
             current = OperatorSettingsFile.read(path)
             log.info("settings={} operators' file reloaded", current)
         } catch (e: InvalidSettingsException) {
-            logRejection(e)
-        } catch (e: RuntimeException) {
-            logRejection(e)
+            log.error("error=\"{}\" changed operators' file rejected, previous settings stay in force", e.message)
         }
     }
 
-    private fun logRejection(e: Exception) =
-        log.error("error=\"{}\" changed operators' file rejected, previous settings stay in force", e.message)
-
     /** Returns the fingerprint of the file, or null if it does not exist or cannot be read. */
     private fun fingerprint(): Fingerprint? = try {
         Fingerprint(Files.getLastModifiedTime(path).toMillis(), Files.size(path))
--- a/src/main/kotlin/io/otterknot/http/RequestReader.kt
+++ b/src/main/kotlin/io/otterknot/http/RequestReader.kt
@@ -17,8 +17,8 @@
     class Complete(val request: HttpRequest, override val closesConnection: Boolean) : ReceivedRequest
 
     /**
-     * A request that is malformed, too large or late, or for which there is no memory, refused with [response]. The connection is closed after the response,
-     * because it is unknown where the next request begins.
+     * A request that is malformed, too large or late, or for which there is no memory, refused with [response]. The
+     * connection is closed after the response, because it is unknown where the next request begins.
      */
     class Invalid(val response: HttpResponse) : ReceivedRequest {
         override val closesConnection = true
@@ -35,14 +35,7 @@
     } catch (e: RequestTimeoutException) {
         invalid(HttpStatus.BAD_REQUEST, e.message.orEmpty())
     } catch (e: RequestMemoryExhaustedException) {
-        ReceivedRequest.Invalid(
-            HttpResponse.refusal(
-                HttpStatus.SERVICE_UNAVAILABLE,
-                e.message.orEmpty(),
-                MEMORY_RETRY_AFTER_S,
-                close = true,
-            ),
-        )
+        invalid(HttpStatus.SERVICE_UNAVAILABLE, e.message.orEmpty(), MEMORY_RETRY_AFTER_S)
     }
 
     private suspend fun receiveRequest(connection: ServerConnection): ReceivedRequest? {
@@ -146,8 +139,8 @@
 
     private fun bodyTooLarge() = invalid(HttpStatus.PAYLOAD_TOO_LARGE, "a body may have at most $maxBodyBytes bytes")
 
-    private fun invalid(status: Int, reason: String) =
-        ReceivedRequest.Invalid(HttpResponse.refusal(status, reason, close = true))
+    private fun invalid(status: Int, reason: String, retryAfterS: Int? = null) =
+        ReceivedRequest.Invalid(HttpResponse.refusal(status, reason, retryAfterS, close = true))
 
     private companion object {
         /** Method, target and version. */
--- a/src/main/kotlin/io/otterknot/store/ReplicaWatcher.kt
+++ b/src/main/kotlin/io/otterknot/store/ReplicaWatcher.kt
@@ -36,15 +36,9 @@
                     pauseBetweenWatches()
                 }
 
-                WatchResult.Compacted -> {
-                    log.warn("revision={} watch revision compacted; reloading all keys", contents.revision.value)
-                    loadOrDelay()
-                }
+                WatchResult.Compacted -> reload("watch revision compacted")
 
-                WatchResult.TooLarge -> {
-                    log.warn("revision={} watch response too large; reloading all keys", contents.revision.value)
-                    loadOrDelay()
-                }
+                WatchResult.TooLarge -> reload("watch response too large")
 
                 is WatchResult.Failed -> {
                     log.info("error={} replica watch failed", result.reason)
@@ -85,6 +79,12 @@
         }
     }
 
+    /** Reads all keys again, since the watch cannot go on from the replica's revision because of [cause]. */
+    private suspend fun reload(cause: String) {
+        log.warn("revision={} {}; reloading all keys", contents.revision.value, cause)
+        loadOrDelay()
+    }
+
     private suspend fun loadOrDelay(): Boolean {
         if (load()) return true
         delay(LOAD_RETRY_DELAY_MS + random.nextLong(LOAD_RETRY_JITTER_MS))
--- a/src/main/kotlin/io/otterknot/wire/JsonNesting.kt
+++ b/src/main/kotlin/io/otterknot/wire/JsonNesting.kt
@@ -1,5 +1,6 @@
 package io.otterknot.wire
 
+import it.unimi.dsi.fastutil.ints.IntArrayList
 import kotlinx.serialization.SerializationException
 
 /**
@@ -24,21 +25,20 @@
     var depth = 0
     var index = 0
     while (index < text.length) {
-        when (text[index]) {
-            '"' -> index = endOfJsonString(text, index)
+        when (text[index++]) {
+            '"' -> index = endOfJsonString(text, index - 1)
             '[', '{' -> if (++depth > MAX_JSON_NESTING) return true
             ']', '}' -> depth--
         }
-        index++
     }
     return false
 }
 
-/** Returns the index of the quotation mark that ends the string beginning at [start], or the end of [text]. */
+/** Returns the index after the string that begins at [start], or the end of [text] if that string has no end. */
 internal fun endOfJsonString(text: String, start: Int): Int {
     var index = start + 1
     while (index < text.length && text[index] != '"') index += if (text[index] == '\\') 2 else 1
-    return minOf(index, text.length)
+    return minOf(index + 1, text.length)
 }
 
 /**
@@ -48,38 +48,29 @@
 private class NestedJsonReducer(private val text: String) {
     private val reduced = StringBuilder(text.length)
 
-    /** Where the arrays and objects that are open now begin in [reduced]; only the first [depth] elements are used. */
-    private var starts = IntArray(INITIAL_LEVELS)
-    private var depth = 0
+    /** Where each of the arrays and objects that are open now begins in [reduced]. */
+    private val starts = IntArrayList()
 
     fun reduce(): String {
         var index = 0
         while (index < text.length) {
-            val end = if (text[index] == '"') minOf(endOfJsonString(text, index), text.length - 1) else index
-            if (text[index] == '[' || text[index] == '{') open()
-            reduced.append(text, index, end + 1)
+            val end = if (text[index] == '"') endOfJsonString(text, index) else index + 1
+            if (text[index] == '[' || text[index] == '{') starts.push(reduced.length)
+            reduced.append(text, index, end)
             if (text[index] == ']' || text[index] == '}') close()
-            index = end + 1
+            index = end
         }
-        if (depth > 0) throw SerializationException("$depth arrays and objects are not closed")
+        if (!starts.isEmpty) throw SerializationException("${starts.size} arrays and objects are not closed")
         return reduced.toString()
     }
 
-    private fun open() {
-        if (depth == starts.size) starts = starts.copyOf(depth * 2)
-        starts[depth++] = reduced.length
-    }
-
     private fun close() {
-        if (depth == 0) throw SerializationException("a closing bracket has no opening one")
-        val start = starts[--depth]
-        if (depth == 0 || depth % MAX_JSON_NESTING != 0) return
+        if (starts.isEmpty) throw SerializationException("a closing bracket has no opening one")
+        val start = starts.popInt()
+        val enclosing = starts.size
+        if (enclosing == 0 || enclosing % MAX_JSON_NESTING != 0) return
         WireJson.parseToJsonElement(reduced.substring(start))
         reduced.setLength(start)
         reduced.append("null")
     }
-
-    private companion object {
-        const val INITIAL_LEVELS = 4 * MAX_JSON_NESTING
-    }
 }
--- a/src/main/kotlin/io/otterknot/wire/JsonTokens.kt
+++ b/src/main/kotlin/io/otterknot/wire/JsonTokens.kt
@@ -24,7 +24,7 @@
 
 /** Returns the index after the token that begins at [start]. */
 private fun endOfToken(text: String, start: Int): Int {
-    if (text[start] == '"') return minOf(endOfJsonString(text, start) + 1, text.length)
+    if (text[start] == '"') return endOfJsonString(text, start)
     var end = start + 1
     if (text[start] !in DELIMITERS) while (end < text.length && text[end] !in DELIMITERS) end++
     return end
--- a/src/test/kotlin/io/otterknot/config/SettingsFileTest.kt
+++ b/src/test/kotlin/io/otterknot/config/SettingsFileTest.kt
@@ -69,9 +69,8 @@
 
     @Test
     fun `brackets and dots in strings and comments are no nesting`() {
-        val text = "x = \"${"[.".repeat(
-            100,
-        )}\" # ${"[.".repeat(100)}\ny = [1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 9.0]"
+        val brackets = "[.".repeat(100)
+        val text = "x = \"$brackets\" # $brackets\ny = [1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 9.0]"
         assertEquals("n0", SettingsFile.parse("$text\n$validSettings").label)
     }
 
--- a/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
+++ b/src/test/kotlin/io/otterknot/http/HttpLoopTest.kt
@@ -30,6 +30,11 @@
         override fun toString() = name
     }
 
+    /** A request without its [rest], for which the server reserves [reservedBytes]. */
+    class IncompleteRequest(private val name: String, val text: String, val rest: String, val reservedBytes: Long) {
+        override fun toString() = name
+    }
+
     @ParameterizedTest
     @MethodSource("requestCases")
     fun `valid and malformed requests are answered with the expected statuses`(case: RequestCase) =
@@ -45,13 +50,6 @@
             connection.close()
         }
 
-    /**
-     * A request without its [rest], for which the server reserves [reservedBytes].
-     */
-    class IncompleteRequest(private val name: String, val text: String, val rest: String, val reservedBytes: Long) {
-        override fun toString() = name
-    }
-
     /**
      * A request that begins after a pause on an open connection, and requests that remain incomplete. Guards against a
      * timeout that counts from the previous response, and against connections that stay open for incomplete requests.
--- a/src/test/kotlin/io/otterknot/soak/HostileClients.kt
+++ b/src/test/kotlin/io/otterknot/soak/HostileClients.kt
@@ -7,6 +7,8 @@
 import io.otterknot.net.HostPort
 import io.otterknot.net.TcpConnection
 import io.otterknot.testing.HostileText
+import io.otterknot.testing.MAX_NESTED_LEVELS
+import io.otterknot.testing.nested
 import io.otterknot.wire.MAX_BODY_BYTES
 import kotlinx.coroutines.delay
 import java.io.IOException
@@ -101,15 +103,14 @@
         const val MAX_RANDOM_BYTES = 3_000
         const val MAX_CONNECTIONS = 150
         const val DESCRIBED_CHARS = 60
-        const val LEVELS = 30_000
 
         val NESTED = listOf(
-            "[".repeat(LEVELS) + "]".repeat(LEVELS),
-            "[".repeat(2 * LEVELS),
-            "{\"a\":[".repeat(LEVELS / 4) + "]}".repeat(LEVELS / 4),
-            "{\"Uid\":" + "[".repeat(LEVELS) + "]".repeat(LEVELS) + "}",
-            "{\"Holt\":" + "[".repeat(LEVELS) + "]".repeat(LEVELS) + "}",
-            "{\"Cores\":" + "9".repeat(LEVELS) + "}",
+            nested(MAX_NESTED_LEVELS),
+            "[".repeat(2 * MAX_NESTED_LEVELS),
+            nested(MAX_NESTED_LEVELS / 4, opening = "{\"a\":[", closing = "]}"),
+            "{\"Uid\":${nested(MAX_NESTED_LEVELS)}}",
+            "{\"Holt\":${nested(MAX_NESTED_LEVELS)}}",
+            "{\"Cores\":${"9".repeat(MAX_NESTED_LEVELS)}}",
         )
         val INCOMPLETE_REQUESTS = listOf(
             "GET /ready HTTP/1.1\r\nA: " + "x".repeat(MAX_BODY_BYTES / 5),
--- a/src/test/kotlin/io/otterknot/soak/SoakRun.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakRun.kt
@@ -2,7 +2,10 @@
 
 import io.otterknot.net.EventLoop
 import io.otterknot.testing.CANCEL_S
+import io.otterknot.testing.MAX_NESTED_LEVELS
+import io.otterknot.testing.nested
 import io.otterknot.testing.submissionBody
+import io.otterknot.testing.submissionBodyWith
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.Priority
 import kotlinx.coroutines.CoroutineScope
@@ -84,10 +87,8 @@
     }
 
     /** A valid submission of [job] with an unknown field of the deepest nesting that the limit on its size allows. */
-    private fun nestedSubmissionBody(job: JobSpec): ByteArray {
-        val known = submissionBody(job).decodeToString().removeSuffix("}")
-        return (known + ",\"Extra\":" + "[".repeat(NESTED_LEVELS) + "]".repeat(NESTED_LEVELS) + "}").encodeToByteArray()
-    }
+    private fun nestedSubmissionBody(job: JobSpec): ByteArray =
+        submissionBodyWith(job, "\"Extra\":${nested(MAX_NESTED_LEVELS)}")
 
     private fun drawJob(number: Int): JobSpec {
         val isUrgent = jobRandom.nextInt(3) != 0
@@ -159,7 +160,6 @@
 
         /** Every job of this number has an unknown field that nests. */
         const val NESTED_JOB_INTERVAL = 5
-        const val NESTED_LEVELS = 30_000
         const val WARM_UP_MS = 6_000L
         const val OBSERVATION_MS = 250L
         const val FAULT_LANES = 3
--- a/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedUsers.kt
@@ -22,6 +22,10 @@
     return fields.toString().encodeToByteArray()
 }
 
+/** The request body of the submission of [spec] with [field], as JSON, in addition. */
+fun submissionBodyWith(spec: JobSpec, field: String): ByteArray =
+    (submissionBody(spec).decodeToString().removeSuffix("}") + ",$field}").encodeToByteArray()
+
 /**
  * Users whose requests go through a load balancer: they retry each submission until it is accepted, poll the job, and
  * cancel some jobs. Every answer is passed to the safety checks.
@@ -73,8 +77,8 @@
     // ---- users
 
     /**
-     * Submits [spec], as [body], until a node accepts it, then polls it. If [cancelAfterMs] is not null, the user cancels the job
-     * that long after its acceptance.
+     * Submits [spec], as [body], until a node accepts it, then polls it. If [cancelAfterMs] is not null, the user
+     * cancels the job that long after its acceptance.
      */
     fun startUser(spec: JobSpec, cancelAfterMs: Long?, body: ByteArray = submissionBody(spec)) = scope.launch {
         checks.specs[spec.id] = spec
--- a/src/test/kotlin/io/otterknot/wire/NestedMessageTest.kt
+++ b/src/test/kotlin/io/otterknot/wire/NestedMessageTest.kt
@@ -1,6 +1,10 @@
 package io.otterknot.wire
 
+import io.otterknot.testing.MAX_NESTED_LEVELS
+import io.otterknot.testing.nested
 import io.otterknot.testing.onControllerStack
+import io.otterknot.testing.smallJob
+import io.otterknot.testing.submissionBodyWith
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
@@ -72,9 +76,9 @@
     @Test
     fun `what is nested beyond the limit is read as null, and nothing else`() {
         val limit = MAX_JSON_NESTING
-        assertEquals(nest(limit, JsonArray(emptyList())), parseJson(arrays(limit)))
-        assertEquals(nest(limit, JsonArray(listOf(JsonNull))), parseJson(arrays(limit + 1)))
-        assertEquals(nest(limit, JsonArray(listOf(JsonNull))), parseJson(arrays(LEVELS)))
+        assertEquals(nest(limit, JsonArray(emptyList())), parseJson(nested(limit)))
+        assertEquals(nest(limit, JsonArray(listOf(JsonNull))), parseJson(nested(limit + 1)))
+        assertEquals(nest(limit, JsonArray(listOf(JsonNull))), parseJson(arrays))
         val brackets = "[".repeat(LEVELS) + "\\\"" + "{".repeat(LEVELS)
         val text = parseJson("""{"a":$arrays,"b":"$brackets"}""").jsonObject.getValue("b").jsonPrimitive.content
         assertEquals(brackets.replace("\\", ""), text)
@@ -85,16 +89,10 @@
         (1 until depth).fold(innermost) { element, _ -> JsonArray(listOf(element)) }
 
     companion object {
-        /** Nested arrays of a message of the largest allowed size. */
-        private const val LEVELS = 30_000
-        private val arrays = arrays(LEVELS)
+        private const val LEVELS = MAX_NESTED_LEVELS
+        private val arrays = nested(LEVELS)
 
-        private fun arrays(levels: Int) = "[".repeat(levels) + "]".repeat(levels)
-
-        private fun submission(last: String) =
-            """{"Uid":"j-000412","Ilk":"train","Crew":"vision","Sort":"sweep","Rank":"high","Chores":16,""" +
-                """"Cores":8.0,"Cards":1.0,"MemoryGb":64.0,"Pelt":"img-07","SizeGb":6.2,"SamePlace":true,""" +
-                """"Scatter":false,"Driftwood":true,"GuessS":240.0,"CacheS":30.0,"StashS":4.0,$last}"""
+        private fun submission(last: String) = submissionBodyWith(smallJob("j-000412"), last).decodeToString()
 
         @JvmStatic
         fun invalidSubmissions() = listOf(
@@ -102,8 +100,8 @@
             InvalidSubmission("arrays that are not closed", "[".repeat(60_000), "not JSON"),
             InvalidSubmission("closing brackets", "]".repeat(60_000), "not JSON"),
             InvalidSubmission("arrays closed once too often", "$arrays]", "not JSON"),
-            InvalidSubmission("arrays closed as objects", "[".repeat(LEVELS) + "}".repeat(LEVELS), "not JSON"),
-            InvalidSubmission("objects without names", "{".repeat(LEVELS) + "}".repeat(LEVELS), "not JSON"),
+            InvalidSubmission("arrays closed as objects", nested(LEVELS, closing = "}"), "not JSON"),
+            InvalidSubmission("objects without names", nested(LEVELS, opening = "{", closing = "}"), "not JSON"),
             InvalidSubmission(
                 "an error in the innermost array",
                 submission("\"Extra\":${arrays.replace("[]", "[1 2]")}"),
@@ -128,11 +126,11 @@
         fun nestedValues() = listOf(
             NestedValue("arrays", arrays),
             NestedValue("objects", objects()),
-            NestedValue("arrays in objects", """{"a":[""".repeat(LEVELS / 4) + "]}".repeat(LEVELS / 4)),
-            NestedValue("arrays side by side", "[" + arrays(1_000).plus(",").repeat(25) + "1]"),
-            NestedValue("brackets in strings", "[".repeat(LEVELS) + "\"]]\\\"[{\"" + "]".repeat(LEVELS)),
+            NestedValue("arrays in objects", nested(LEVELS / 4, opening = """{"a":[""", closing = "]}")),
+            NestedValue("arrays side by side", "[" + nested(1_000).plus(",").repeat(25) + "1]"),
+            NestedValue("brackets in strings", nested(LEVELS, "\"]]\\\"[{\"")),
         )
 
-        private fun objects() = """{"a":""".repeat(LEVELS / 4) + "1" + "}".repeat(LEVELS / 4)
+        private fun objects() = nested(LEVELS / 4, "1", opening = """{"a":""", closing = "}")
     }
 }
