--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -84,7 +84,7 @@
     }
 
     void startControllers() throws IOException {
-        for (String node : deployment.nodes) Files.writeString(folder.resolve(node + ".toml"), settings(node));
+        for (String node : deployment.nodes) writeSettings(node);
         for (String node : deployment.nodes) startController(node);
     }
 
@@ -198,8 +198,15 @@
         return (String) Json.object(answer.text).get("Mood");
     }
 
-    private String settings(String node) {
-        return deployment.settings(node, ports, peerPorts, cloudPort, statePort);
+    /** Writes the settings file of a controller, which reads it when it starts. */
+    void writeSettings(String node) throws IOException {
+        String text = deployment.settings(node, ports, peerPorts, cloudPort, statePort);
+        Files.writeString(folder.resolve(node + ".toml"), text);
+    }
+
+    /** The cores that the tasks of a team use on all machines. */
+    double coresInUse(String team) {
+        return cloud.workers().stream().mapToDouble(it -> it.coresInUse(team)).sum();
     }
 
     /** Copies the lines of the controllers' logs that contain one of the words to the record. */
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -77,6 +77,16 @@
         return ended ? List.of() : new ArrayList<>(active.keySet());
     }
 
+    /** The cores of the tasks of a team that are on the machine: they have their image and have not exited. */
+    synchronized double coresInUse(String team) {
+        double cores = 0;
+        if (ended) return cores;
+        for (Task task : active.values()) {
+            if (task.mood.equals("running") && team.equals(site.jobs.get(task.job).get("Crew"))) cores += task.cores;
+        }
+        return cores;
+    }
+
     synchronized boolean hasRoom(double cores, double memoryGb) {
         return !ended && usedCores + cores <= machine.type.cores && usedMemoryGb + memoryGb <= machine.type.memoryGb;
     }
