--- a/review/6/Case6.java
+++ b/review/6/TinyTasks.java
@@ -1,13 +1,13 @@
 import java.util.Map;
 
 /** An array of many small tasks, more than a worker can name in one report. */
-public final class Case6 {
+public final class TinyTasks {
     private static final int TASKS = 4_000;
     private static final int TASKS_WITHOUT_TROUBLE = 100;
     private static final long LATE_MS = 60_000;
 
     public static void main(String[] args) throws Exception {
-        Case.run(args, Deployment.uwimana(), Case6::run);
+        Case.run(args, Deployment.uwimana(), TinyTasks::run);
     }
 
     private static boolean run(Site site, boolean trouble) throws Exception {
