--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -19,7 +19,16 @@
         }
     }
 
-    static void run(String[] args, Deployment deployment, Body body) throws Exception {
+    static void run(String[] args, Deployment deployment, Body body) {
+        try {
+            start(args, deployment, body);
+        } catch (Exception e) {
+            e.printStackTrace();
+            System.exit(2);
+        }
+    }
+
+    private static void start(String[] args, Deployment deployment, Body body) throws Exception {
         Path repository = Path.of(args[0]).toAbsolutePath();
         if (!Files.exists(repository.resolve("target/otterknot.jar"))) {
             System.err.println("target/otterknot.jar is missing");
