--- a/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
+++ b/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
@@ -62,18 +62,14 @@
         machine.leaseMayStart(now)
         machine.reconcile()
         machine.updateSpotNotice(heartbeat.spotNoticeS != null)
-        val commands = ArrayList<HeartbeatCommand>()
-        for (status in heartbeat.tasks) {
-            val command = reconciler.reconcile(machine, status, now)
-            if (command != null) commands.add(command)
-        }
+        val forStatuses = heartbeat.tasks.mapNotNull { reconciler.reconcile(machine, it, now) }
         reconciler.requeueUnshown(machine)
         updateUnknownTasks(machine, heartbeat)
         heartbeat.spotNoticeS?.let { reconciler.stopBeforeRevocation(machine, it, now) }
         reconciliation.machineReconciled(machine, now)
         machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.acceptsTasks)
         if (machine.losesResponses) probe(machine, now) else scheduler.placeOn(machine, now)
-        commandIssuer.issueDue(machine, now, commands)
+        val commands = commandIssuer.issue(machine, forStatuses, now)
         state.decisions.responded(machine, commands)
         return commands
     }
