A refusal is never longer than a line may be

What callers saw: nobody reported it; found while looking for messages above their limits. GET /submissions/ID with a path of 16 KiB of control characters got its path back, each character as an escape of six: a line of 96 KiB, above the 64 KiB of PROTOCOL.

Cause: refusals quote what was asked for, whatever its length. Fix: a reason is cut after 1,000 characters.

--- a/src/main/kotlin/io/otterknot/http/Messages.kt
+++ b/src/main/kotlin/io/otterknot/http/Messages.kt
@@ -30,9 +30,12 @@
         fun <T> json(status: Int, serializer: KSerializer<T>, value: T) =
             HttpResponse(status, WireJson.encodeToString(serializer, value).encodeToByteArray())
 
+        /** The longest reason in a refusal: one that quotes a request would make a line as long as the request. */
+        private const val MAX_REASON_CHARS = 1_000
+
         /**
-         * Returns a refusal with its [reason] as JSON in the body. [retryAfterS] is set if the client may retry the
-         * request after that many seconds.
+         * Returns a refusal with its [reason], shortened if it is very long, as JSON in the body. [retryAfterS] is set
+         * if the client may retry the request after that many seconds.
          */
         fun refusal(
             status: Int,
@@ -42,7 +45,10 @@
             close: Boolean = false,
         ) = HttpResponse(
             status,
-            WireJson.encodeToString(ErrorResponse.serializer(), ErrorResponse(reason)).encodeToByteArray(),
+            WireJson.encodeToString(
+                ErrorResponse.serializer(),
+                ErrorResponse(reason.take(MAX_REASON_CHARS)),
+            ).encodeToByteArray(),
             retryAfterS,
             allow,
             close,
