--- a/src/main/kotlin/io/otterknot/http/RequestReader.kt
+++ b/src/main/kotlin/io/otterknot/http/RequestReader.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
 
 /** The result of reading the next request from a connection. */
 internal sealed interface ReceivedRequest {
@@ -27,6 +28,8 @@
 
 /** Reads requests whose body, sent with `Content-Length` or chunked, has at most [maxBodyBytes] bytes. */
 internal class RequestReader(private val maxBodyBytes: Int) {
+    private val log = LoggerFactory.getLogger(RequestReader::class.java)
+
     /** Reads the next request on [connection]; returns null if the client has closed the connection. */
     suspend fun receive(connection: ServerConnection): ReceivedRequest? = try {
         receiveRequest(connection)
@@ -65,7 +68,7 @@
                 "Content-Length must be a whole number from 0 to $maxBodyBytes",
             )
 
-            bodyBytes > maxBodyBytes -> bodyTooLarge()
+            bodyBytes > maxBodyBytes -> bodyTooLarge(head, bodyBytes)
 
             else -> receiveBody(connection, head, bodyBytes)
         }
@@ -106,7 +109,7 @@
         pump.cancel()
         decoder.cancel()
         if (bodyBytes > maxBodyBytes) {
-            bodyTooLarge()
+            bodyTooLarge(head, bodyBytes.toLong())
         } else {
             complete(head, buffer.copyOf(bodyBytes), closesConnection = true)
         }
@@ -137,7 +140,12 @@
         )
     }
 
-    private fun bodyTooLarge() = invalid(HttpStatus.PAYLOAD_TOO_LARGE, "a body may have at most $maxBodyBytes bytes")
+    /** Refuses a body of at least [bodyBytes] bytes. A worker whose reports are refused loses all its tasks. */
+    private fun bodyTooLarge(head: HttpHead, bodyBytes: Long): ReceivedRequest.Invalid {
+        val (method, target) = head.startLine
+        log.warn("method={} path={} bytes={} request body refused as too large", method, target, bodyBytes)
+        return invalid(HttpStatus.PAYLOAD_TOO_LARGE, "a body may have at most $maxBodyBytes bytes")
+    }
 
     private fun invalid(status: Int, reason: String, retryAfterS: Int? = null) =
         ReceivedRequest.Invalid(HttpResponse.refusal(status, reason, retryAfterS, close = true))
