A relayed response that is too large for a message says so

What callers saw: nothing yet; listed as open in docs/design.md. While a controller reaches the store only through another one, a response to a watch of more than 1 MiB closed the connection between them, and the same watch was requested again, without end: its replica stood still.

Cause: PeerServer sent any frame, PeerClient accepts at most 1 MiB. Fix: the relaying controller answers such a response with status 413 and no body (the format is unchanged; an older controller sees a failed watch, as before).

The new case of PeerServerTest fails if the size is not checked.

--- a/src/main/kotlin/io/otterknot/controller/PeerRequestHandler.kt
+++ b/src/main/kotlin/io/otterknot/controller/PeerRequestHandler.kt
@@ -48,9 +48,13 @@
      * peer has counted it in its own.
      */
     private suspend fun relayToStore(request: PeerMessage.RelayRequest): PeerMessage {
-        if (!storeHealth.isAnswering) return PeerMessage.RelayResponse.UNANSWERED
+        if (!storeHealth.isAnswering) return unanswered()
         val reply = store.call(request.method, request.target, request.body, request.timeoutMs.toLong())
-        if (reply !is Reply.Answer) return PeerMessage.RelayResponse.UNANSWERED
-        return PeerMessage.RelayResponse(reply.status, reply.body)
+        return when (reply) {
+            is Reply.Answer -> PeerMessage.RelayResponse.of(reply.status, reply.body)
+            is Reply.None -> if (reply.isTooLarge) PeerMessage.RelayResponse.TOO_LARGE else unanswered()
+        }
     }
+
+    private fun unanswered() = PeerMessage.RelayResponse.UNANSWERED
 }
--- a/src/main/kotlin/io/otterknot/peer/PeerCodec.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerCodec.kt
@@ -15,6 +15,12 @@
     /** The maximum size in bytes of the body of a response that a controller accepts. */
     const val MAX_RESPONSE_BYTES = 1_048_576
 
+    /** The size of a [PeerMessage.RelayResponse] without the body that it relays: kind, status and length. */
+    private const val RELAY_RESPONSE_HEAD_BYTES = 9
+
+    /** The largest body of the store's response that fits in a response to another controller. */
+    const val MAX_RELAYED_BODY_BYTES = MAX_RESPONSE_BYTES - RELAY_RESPONSE_HEAD_BYTES
+
     /**
      * The maximum size in bytes of the body of a request that a controller accepts. The largest request relays a
      * transaction of 64 KiB.
--- a/src/main/kotlin/io/otterknot/peer/PeerMessage.kt
+++ b/src/main/kotlin/io/otterknot/peer/PeerMessage.kt
@@ -1,5 +1,7 @@
 package io.otterknot.peer
 
+import io.otterknot.http.HttpStatus
+
 /**
  * A message between two controllers. The response to a [RelayRequest] is [RelayResponse]; the response to any other
  * request is [IdlePartitionCount].
@@ -43,6 +45,13 @@
 
             /** The request was not sent to the store, or the store did not respond. */
             val UNANSWERED = RelayResponse(UNANSWERED_STATUS, ByteArray(0))
+
+            /** The store responded, but with a larger body than a message between controllers may have. */
+            val TOO_LARGE = RelayResponse(HttpStatus.PAYLOAD_TOO_LARGE, ByteArray(0))
+
+            /** Returns the response with [status] and [body], or [TOO_LARGE]. */
+            fun of(status: Int, body: ByteArray): RelayResponse =
+                if (body.size > PeerCodec.MAX_RELAYED_BODY_BYTES) TOO_LARGE else RelayResponse(status, body)
         }
     }
 
--- a/src/test/kotlin/io/otterknot/peer/PeerServerTest.kt
+++ b/src/test/kotlin/io/otterknot/peer/PeerServerTest.kt
@@ -1,5 +1,7 @@
 package io.otterknot.peer
 
+import io.otterknot.http.HttpStatus
+import io.otterknot.http.Reply
 import io.otterknot.net.EventLoop
 import io.otterknot.net.HostPort
 import io.otterknot.net.TcpConnection
@@ -12,6 +14,7 @@
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.MethodSource
 import java.net.ServerSocket
 
@@ -45,6 +48,21 @@
         assertEquals(ANSWER, PeerClient(loop, address).call(request, CALL_TIMEOUT_MS))
     }
 
+    /** Guards against a response of the store that closes the connection of each relayed request for it. */
+    @ParameterizedTest
+    @CsvSource("0,false", "1,true")
+    fun `a response of the store that is too large for a message is relayed as too large`(
+        bytesAboveLimit: Int,
+        isTooLarge: Boolean,
+    ) {
+        val stored = ByteArray(PeerCodec.MAX_RELAYED_BODY_BYTES + bytesAboveLimit)
+        withServer({ PeerMessage.RelayResponse.of(HttpStatus.OK, stored) }) { loop, address ->
+            val reply = PeerRelay(PeerClient(loop, address)).relay("GET", "/watch", null, CALL_TIMEOUT_MS)
+            assertEquals(isTooLarge, reply is Reply.None && reply.isTooLarge)
+            assertEquals(!isTooLarge, reply is Reply.Answer && reply.body.size == stored.size)
+        }
+    }
+
     class HostileFrame(private val name: String, val bytes: ByteArray) {
         override fun toString() = name
     }
