Values and transactions above the store's limits are never sent

What callers saw: nothing yet; found by reading. A value that had grown beyond the limit in the settings was sent every five seconds, refused, and each refusal lowered the limits of all other writers. A transaction above 64 KiB would have been sent, too.

Fix: BatchWriter defers a value above the limit in the settings without sending it, with a warning; KeyValueStoreClient refuses a transaction above 64 KiB as the store would. A limit that the store lowers without notice is learned from refusals as before. The simulated store refuses transactions above 64 KiB.

Both new cases of WriteLimitsTest fail without the checks.

--- a/src/main/kotlin/io/otterknot/store/BatchWriter.kt
+++ b/src/main/kotlin/io/otterknot/store/BatchWriter.kt
@@ -70,7 +70,7 @@
             minOf(limits.maxTransactionChanges, client.rateLimiter.maxBackgroundChanges, MAX_BATCH_CHANGES)
         for (write in writes) {
             if (replica[write.key]?.value == write.value) continue
-            if (isDeferred(write) || write.dependsOn.any { it in skippedKeys }) {
+            if (isDeferred(write) || isOversized(write) || write.dependsOn.any { it in skippedKeys }) {
                 skippedKeys.add(write.key)
             } else {
                 val size = write.key.length * 2 + CHANGE_OVERHEAD_BYTES + write.valueBytes
@@ -90,6 +90,14 @@
         return false
     }
 
+    /** Whether the value is larger than any that the store accepts. Then it is deferred as if it had been refused. */
+    private fun isOversized(write: PendingWrite): Boolean {
+        if (write.valueBytes <= limits.configuredValueBytes) return false
+        log.warn("key={} bytes={} value not written, larger than the store accepts", write.key, write.valueBytes)
+        defer(write)
+        return true
+    }
+
     private fun defer(write: PendingWrite) {
         deferred[write.key] = DeferredWrite(write, nowMs() + DEFERRAL_MS)
     }
--- a/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
+++ b/src/main/kotlin/io/otterknot/store/KeyValueStoreClient.kt
@@ -9,6 +9,7 @@
 import io.otterknot.wire.KeyValuePage
 import io.otterknot.wire.LeaseGrant
 import io.otterknot.wire.LeaseRequest
+import io.otterknot.wire.MAX_BODY_BYTES
 import io.otterknot.wire.RevisionResponse
 import io.otterknot.wire.TransactionRequest
 import io.otterknot.wire.VersionCondition
@@ -16,6 +17,7 @@
 import io.otterknot.wire.WireJson
 import io.otterknot.wire.decodeJson
 import kotlinx.serialization.KSerializer
+import org.slf4j.LoggerFactory
 
 /**
  * Client of the consensus-backed key-value store (PROTOCOL: `/store`, `/txn`, `/watch`, `/holds`). It keeps within this
@@ -27,6 +29,8 @@
     val rateLimiter: RateLimiter,
     val metrics: Metrics,
 ) {
+    private val log = LoggerFactory.getLogger(KeyValueStoreClient::class.java)
+
     /** Returns a page of the keys that begin with [prefix] and sort after [after], or null if the request failed. */
     suspend fun list(prefix: String, after: String?): KeyValuePage? {
         rateLimiter.acquire()
@@ -107,6 +111,10 @@
         metrics.count("transactions")
         metrics.count("changes", changes.size)
         val body = encode(TransactionRequest.serializer(), TransactionRequest(conditions, changes))
+        if (body.size > MAX_BODY_BYTES) {
+            log.warn("changes={} bytes={} transaction not sent, larger than the store accepts", changes.size, body.size)
+            return TransactionOutcome.Refused(HttpStatus.BAD_REQUEST)
+        }
         return when (val reply = call(transport, "POST", "/txn", body, TRANSACTION_TIMEOUT_MS)) {
             is Reply.None -> TransactionOutcome.Unknown(reply.why)
             is Reply.Answer -> transactionOutcome(reply)
--- a/src/main/kotlin/io/otterknot/store/WriteLimits.kt
+++ b/src/main/kotlin/io/otterknot/store/WriteLimits.kt
@@ -17,6 +17,9 @@
 ) {
     private val log = LoggerFactory.getLogger(WriteLimits::class.java)
 
+    /** The maximum size of a value in the settings; a larger one is never sent. */
+    val configuredValueBytes = maxValueBytes
+
     var maxValueBytes = maxValueBytes
         private set
 
--- a/src/test/kotlin/io/otterknot/store/WriteLimitsTest.kt
+++ b/src/test/kotlin/io/otterknot/store/WriteLimitsTest.kt
@@ -79,6 +79,33 @@
         background.cancel()
     }
 
+    /** Guards against a value above the limit in the settings, which would be refused again and again. */
+    @Test
+    fun `a value above the limit in the settings is never sent and blocks no other write`() = runTest {
+        val fixture = StoreFixture(this)
+        val background = launch { fixture.replica.followWatch() }
+        fixture.replica.awaitLoaded()
+        fixture.state.maxValueBytes = 1_500
+        val writer = BatchWriter(fixture.client, fixture.replica, Random(1), WriteLimits(1_500, 40)) {
+            testScheduler.currentTime
+        }
+        val writes = listOf(PendingWrite("o/m/a/0", value(1_501)), PendingWrite("o/m/a/1", value(1_500)))
+        while (writer.write(VersionCondition("o/p/a", 0), writes) {}) Unit
+        assertEquals(listOf(null, value(1_500)), writes.map { fixture.state.value(it.key) })
+        assertEquals(emptyList<String>(), fixture.state.rejectedForSize.toList())
+        background.cancel()
+    }
+
+    /** Guards against a transaction that the store cannot accept at all. */
+    @Test
+    fun `a transaction above the limit of the store is not sent`() = runTest {
+        val fixture = StoreFixture(this)
+        val changes = (1..9).map { CompareAndSwap.put(Snapshot.absent("o/m/a/$it"), value(8_000)) }
+        val outcome = fixture.client.transact(changes.reduce(CompareAndSwap::plus))
+        assertTrue(outcome is TransactionOutcome.Refused && outcome.isTooLarge, "$outcome")
+        assertEquals(emptyList<String>(), fixture.state.rejectedForSize.toList())
+    }
+
     /** Answers each transaction on jobs with the next of [statuses]; null stands for no answer. */
     private fun scriptedTransport(state: FakeKeyValueStore, statuses: List<Int?>): Transport {
         val remaining = ArrayDeque(statuses)
--- a/src/test/kotlin/io/otterknot/testing/FakeKeyValueStore.kt
+++ b/src/test/kotlin/io/otterknot/testing/FakeKeyValueStore.kt
@@ -144,6 +144,10 @@
         return when {
             path == "/txn" -> {
                 val txn = WireJson.decodeFromString(TransactionRequest.serializer(), body!!.decodeToString())
+                if (body.size > MESSAGE_LIMIT_BYTES) {
+                    rejectedForSize.add("${body.size} bytes")
+                    return answer(400, """{"error":"transaction too large"}""")
+                }
                 refusal(txn)?.let { return it }
                 if (delayedTransactionShare > 0 && random.nextDouble() < delayedTransactionShare) {
                     scope.launch {
