Machine segments are bounded by bytes, not by a number of machines

What callers saw: nothing yet; found by reading. With long names of machines or types its value is above the limit, is refused, and none of its machines gets a task.

Fix: RecordSegments takes the size of each entry. An entry counts 40 bytes at least, so segments of usual names are as before.

The new case of RecordSegmentsTest fails if segments are filled by number.

--- a/src/main/kotlin/io/otterknot/controller/MachineSegmentWrites.kt
+++ b/src/main/kotlin/io/otterknot/controller/MachineSegmentWrites.kt
@@ -8,7 +8,9 @@
 import io.otterknot.store.PendingWrite
 import io.otterknot.store.StoreReplica
 import io.otterknot.store.WriteLimits
+import io.otterknot.store.utf8Bytes
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
 
 /** Registers machines before their first task, and removes those that no longer exist. Owns no state. */
 class MachineSegmentWrites(private val replica: StoreReplica, private val limits: WriteLimits) : PartitionWriteSource {
@@ -16,8 +18,8 @@
         val added = partition.fleet.unregistered().associate { it.id to it.type.name }
         if (added.isEmpty() && partition.fleet.released.isEmpty()) return emptyList()
         val stored = replica.machineSegments(partition.zone)
-        val segmentSize = limits.maxRecordBytes / BYTES_PER_MACHINE
-        val changed = RecordSegments.redistribute(stored, partition.fleet.released, added, segmentSize)
+        val changed =
+            RecordSegments.redistribute(stored, partition.fleet.released, added, limits.maxRecordBytes, ::entryBytes)
         val precedingKeys = LinkedHashSet<String>()
         return changed.map { (segment, types) ->
             val key = StoreKeys.machineSegment(partition.zone, segment)
@@ -36,8 +38,17 @@
         return encodeRecord(MachineSegmentRecord.serializer(), MachineSegmentRecord(types))
     }
 
+    /** Returns the space that one machine takes in a segment: its name and the name of its type. */
+    private fun entryBytes(machine: Map.Entry<String, String>): Int =
+        maxOf(MIN_BYTES_PER_MACHINE, encodedBytes(machine.key) + encodedBytes(machine.value) + SEPARATOR_BYTES)
+
+    private fun encodedBytes(name: String): Int = JsonPrimitive(name).utf8Bytes
+
     private companion object {
-        /** The space that one machine takes in a segment: its name and the name of its type. */
-        const val BYTES_PER_MACHINE = 40
+        /** More than usual names need, so that segments do not change their size with each name. */
+        const val MIN_BYTES_PER_MACHINE = 40
+
+        /** A colon and a comma. */
+        const val SEPARATOR_BYTES = 2
     }
 }
--- a/src/test/kotlin/io/otterknot/records/RecordSegmentsTest.kt
+++ b/src/test/kotlin/io/otterknot/records/RecordSegmentsTest.kt
@@ -1,6 +1,7 @@
 package io.otterknot.records
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class RecordSegmentsTest {
@@ -41,4 +42,19 @@
             (mapOf(1 to split.getValue(1)) + resumed).values.flatMap { it.keys }.toSet(),
         )
     }
+
+    /** Guards against a segment of many long names that is larger than a value may be, and is never written. */
+    @Test
+    fun `a segment has no more entries than its size allows, and a larger entry has a segment of its own`() {
+        val added = (1..40).associate { "m".repeat(5 * it) to "g" }
+        val segments = RecordSegments.redistribute(emptyMap(), emptySet(), added, 150) { it.key.length }
+        assertEquals(added.keys, segments.values.flatMap { it.keys }.toSet())
+        assertTrue(segments.values.all { names -> names.size == 1 || names.keys.sumOf { it.length } <= 150 })
+        assertTrue(segments.size < 40)
+        val split = RecordSegments.redistribute(mapOf(0 to added), setOf("m".repeat(5)), emptyMap(), 150) {
+            it.key.length
+        }
+        assertTrue(split.values.all { names -> names.size == 1 || names.keys.sumOf { it.length } <= 150 })
+        assertEquals(added.keys - "m".repeat(5), split.values.flatMap { it.keys }.toSet())
+    }
 }
