The published load of a partition fits into a value

What callers saw: nothing yet; found by reading. The load names every team whose tasks need more quota, and with load spread every team's usage: with 60 teams a value of 4,000 bytes is refused, the load is never published, and no controller assigns work by it.

Fix: a load that is too large is published without the usage for load spread, and if that is not enough with the largest needs only.

--- a/src/main/kotlin/io/otterknot/controller/Controller.kt
+++ b/src/main/kotlin/io/otterknot/controller/Controller.kt
@@ -147,7 +147,7 @@
             MachineSegmentWrites(store.replica, store.limits),
             CompletionSegments(jobs, store.limits),
             TakeoverMarkerRemoval(store.replica, nowMs),
-            PartitionLoadPublisher(store.replica, limitedTeams, nowMs, loadSpread::record),
+            PartitionLoadPublisher(store.replica, limitedTeams, store.limits, nowMs, loadSpread::record),
         ),
         JobFinalizer(store.access, jobs, leadership, wallMs),
     )
--- a/src/main/kotlin/io/otterknot/controller/PartitionLoadPublisher.kt
+++ b/src/main/kotlin/io/otterknot/controller/PartitionLoadPublisher.kt
@@ -9,6 +9,8 @@
 import io.otterknot.records.encodeRecord
 import io.otterknot.store.PendingWrite
 import io.otterknot.store.StoreReplica
+import io.otterknot.store.WriteLimits
+import io.otterknot.store.utf8Bytes
 import kotlin.math.abs
 
 /**
@@ -20,6 +22,7 @@
     private val replica: StoreReplica,
     /** The teams with a quota limit, whose quota needs are published too. */
     private val limitedTeams: List<String>,
+    private val limits: WriteLimits,
     private val nowMs: () -> Long,
     /** Returns the pressure that load spread publishes with the load, or null while load spread is off. */
     private val pressureOf: (Partition) -> PressureRecord? = { null },
@@ -31,7 +34,7 @@
         val lastMs = lastPublishedMsByZone[partition.zone]
         if (lastMs != null && now - lastMs < MIN_INTERVAL_MS) return emptyList()
         val key = StoreKeys.partitionLoad(partition.zone)
-        val current = currentLoad(partition)
+        val current = withinValueLimit(currentLoad(partition))
         val published = replica[key]?.let { decodeRecord(PartitionLoadRecord.serializer(), it.value) }
         if (published != null && isClose(published, current)) return emptyList()
         lastPublishedMsByZone[partition.zone] = now
@@ -52,6 +55,29 @@
         )
     }
 
+    /**
+     * Returns [load] without its pressure, and then with only its largest needs, if its value would be larger than the
+     * store accepts. With very many teams, that is better than a load that is not published at all.
+     */
+    private fun withinValueLimit(load: PartitionLoadRecord): PartitionLoadRecord {
+        if (fits(load)) return load
+        val withoutPressure = load.copy(pressure = null)
+        if (fits(withoutPressure)) return withoutPressure
+        val largestFirst = load.quotaNeeds.entries.sortedByDescending { it.value.cores }
+        fun withLargestNeeds(count: Int) =
+            withoutPressure.copy(quotaNeeds = largestFirst.take(count).associate { it.key to it.value })
+        var fitting = 0
+        var tooMany = largestFirst.size
+        while (tooMany - fitting > 1) {
+            val count = (fitting + tooMany) / 2
+            if (fits(withLargestNeeds(count))) fitting = count else tooMany = count
+        }
+        return withLargestNeeds(fitting)
+    }
+
+    private fun fits(load: PartitionLoadRecord): Boolean =
+        encodeRecord(PartitionLoadRecord.serializer(), load).utf8Bytes <= limits.maxValueBytes
+
     private fun isClose(published: PartitionLoadRecord, current: PartitionLoadRecord): Boolean =
         abs(published.meanLoad - current.meanLoad) < MIN_CHANGE &&
             abs(published.ordinaryMeanLoad - current.ordinaryMeanLoad) < MIN_CHANGE &&
