A machine gets no more tasks than its reports may name

Its next report had 287,158 bytes, every controller refused it with 413, its lease ran out or it was released, all on it was lost, also another team's tasks, and the same happened on the next machine. A minute after all tasks had completed the job was still not done.

Cause: only cores, memory and GPUs bounded the tasks of a machine.

Fix: the space of a machine's heartbeats is a resource like cores (scheduling.HeartbeatSpace). A task takes the longest status that a worker may write about it, whatever its state; a status takes space from the booking until a heartbeat of the worker no longer shows it. MachineResources, taken out of Machine, counts it together with the others, so placement, reservations, preemption, load spread and the idle machines told to other controllers see it. Demand, mean loads, reassignment and fair share count a task by the cores that correspond to its part of a machine's space; for a task of a core or more that is its cores, as before.

Small tasks, below one core, may not use what two statuses per core need: otherwise tasks of other teams would wait beside free cores. Attempts on a machine that an earlier leader has filled further are stopped, as many at a time as the next report can show.

Why it works: a worker's report names the attempts that it was sent and has not forgotten; all of them are counted with their longest status, and nothing is started unless the sum is within 64 KiB less 2 KiB for the rest of the report.

--- a/src/main/kotlin/io/otterknot/autoscaling/ScaleIn.kt
+++ b/src/main/kotlin/io/otterknot/autoscaling/ScaleIn.kt
@@ -54,7 +54,7 @@
     fun drainSurplus(partition: Partition, inputs: ScalingInputs) {
         val now = nowMs()
         val candidates = partition.machines.filter { it.acceptsTasks && now - it.firstSeenMs > MIN_SERVICE_MS }
-            .sortedWith(compareBy<Machine> { it.spot }.thenBy { it.bookedShare() })
+            .sortedWith(compareBy<Machine> { it.spot }.thenBy { it.resources.bookedShare() })
         var remaining = inputs
         var draining = 0
         for (machine in candidates) {
--- a/src/main/kotlin/io/otterknot/heartbeat/HeartbeatEndpoint.kt
+++ b/src/main/kotlin/io/otterknot/heartbeat/HeartbeatEndpoint.kt
@@ -35,16 +35,16 @@
         // The fence is checked after the heartbeat has arrived. The worker's lease counts from the sending of the
         // heartbeat, so it starts before the time at which the fence was found valid.
         val fencingToken = leadership.actingToken(heartbeat.zone) ?: return redirect(heartbeat)
-        return respondAsLeader(heartbeat, fencingToken)
+        return respondAsLeader(heartbeat, body.size, fencingToken)
     }
 
-    private fun respondAsLeader(heartbeat: Heartbeat, fencingToken: Long): HttpResponse {
+    private fun respondAsLeader(heartbeat: Heartbeat, heartbeatBytes: Int, fencingToken: Long): HttpResponse {
         val zone = heartbeat.zone
         if (heartbeat.fencingToken > fencingToken) return leadershipLost(zone)
         // The response has the new token but no commands until everything written before the acquisition has been read.
         val partition = partitions[zone]?.takeIf { it.fencingToken == fencingToken }
             ?: return respond(fencingToken, emptyList())
-        return when (val decision = partition.applyHeartbeat(heartbeat, nowMs())) {
+        return when (val decision = partition.applyHeartbeat(heartbeat, nowMs(), heartbeatBytes)) {
             is HeartbeatDecision.Answer -> respond(decision.fencingToken, decision.commands)
             HeartbeatDecision.Superseded -> leadershipLost(zone)
             HeartbeatDecision.Stale -> unavailable("a newer report came before this one")
--- a/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
+++ b/src/main/kotlin/io/otterknot/partition/AttemptLedger.kt
@@ -2,6 +2,7 @@
 
 import io.otterknot.scheduling.Attempt
 import io.otterknot.scheduling.AttemptPhase
+import io.otterknot.scheduling.HeartbeatSpace
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
 import io.otterknot.scheduling.StartReason
@@ -51,9 +52,9 @@
             invariants.violated("${attempt.name}#${attempt.id} booked while attempt ${earlier.id} is not given up")
         }
         machine.attempts.put(attempt.id, attempt)
-        machine.book(job.spec)
+        machine.resources.book(job.spec)
         job.active.put(attempt.task, attempt)
-        teams.book(job.team, job.spec)
+        teams.book(job.team, job.spec, equivalentCores(attempt))
         waitingWork.markChanged(job)
         return attempt
     }
@@ -64,16 +65,21 @@
      */
     fun release(attempt: Attempt) {
         if (attempt.phase == AttemptPhase.EXITED) return
+        val wasSent = attempt.phase != AttemptPhase.BOOKED
         attempt.markExited()
         val job = attempt.job
         val machine = attempt.machine
         machine.attempts.remove(attempt.id)
-        machine.unbook(job.spec)
-        if (attempt.stopping) machine.beingFreed.subtract(job.spec)
+        machine.resources.unbook(job.spec)
+        if (attempt.stopping) machine.resources.beingFreed.subtract(job.spec)
         if (job.active.get(attempt.task) === attempt) job.active.remove(attempt.task)
-        teams.unbook(job.team, job.spec)
+        teams.unbook(job.team, job.spec, equivalentCores(attempt))
+        if (wasSent) machine.resources.addUnbookedStatus(job.spec)
     }
 
+    private fun equivalentCores(attempt: Attempt): Double =
+        HeartbeatSpace.equivalentCores(attempt.job.spec, attempt.machine.type.cores)
+
     /** Makes [task] pending again if it still belongs to this partition and is not assigned to a machine. */
     fun requeue(job: PartitionJob, task: Int, reason: StartReason) {
         if (job.finished || !job.isUnassigned(task)) return
--- a/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
+++ b/src/main/kotlin/io/otterknot/partition/HeartbeatProcessor.kt
@@ -5,6 +5,7 @@
 import io.otterknot.scheduling.StartReason
 import io.otterknot.wire.Heartbeat
 import io.otterknot.wire.HeartbeatCommand
+import io.otterknot.wire.HeartbeatSize
 import io.otterknot.wire.MachineType
 import io.otterknot.wire.TaskState
 
@@ -24,8 +25,10 @@
 ) {
     private val machines = state.machines
     private val commandIssuer = CommandIssuer()
+    private val excessAttempts = ExcessAttempts(term.zone, state.attempts)
 
-    fun process(heartbeat: Heartbeat, now: Long): HeartbeatDecision {
+    /** Applies [heartbeat], which took [heartbeatBytes] on the wire, and returns how to respond. */
+    fun process(heartbeat: Heartbeat, heartbeatBytes: Int, now: Long): HeartbeatDecision {
         if (heartbeat.fencingToken > term.fencingToken) return HeartbeatDecision.Superseded
         val type = machineTypes(heartbeat.type) ?: return respond(emptyList())
         val known = machines[heartbeat.machine]
@@ -40,7 +43,7 @@
             reconciliation.priorTokenShown(machine, now)
             return respond(emptyList())
         }
-        return respond(applyReconciled(machine, heartbeat, now))
+        return respond(applyReconciled(machine, heartbeat, heartbeatBytes, now))
     }
 
     private fun respond(commands: List<HeartbeatCommand>) = HeartbeatDecision.Answer(term.fencingToken, commands)
@@ -58,25 +61,36 @@
      * Applies a heartbeat that shows this leader's fencing token, so that no command of an earlier leader can reach
      * [machine] any more. Returns the commands to respond with.
      */
-    private fun applyReconciled(machine: Machine, heartbeat: Heartbeat, now: Long): List<HeartbeatCommand> {
+    private fun applyReconciled(
+        machine: Machine,
+        heartbeat: Heartbeat,
+        heartbeatBytes: Int,
+        now: Long,
+    ): List<HeartbeatCommand> {
         machine.leaseMayStart(now)
         machine.reconcile()
         machine.updateSpotNotice(heartbeat.spotNoticeS != null)
         val forStatuses = heartbeat.tasks.mapNotNull { reconciler.reconcile(machine, it, now) }
         reconciler.requeueUnshown(machine)
-        updateUnknownTasks(machine, heartbeat)
+        updateUnbookedTasks(machine, heartbeat)
+        excessAttempts.stop(machine, heartbeatBytes)
         heartbeat.spotNoticeS?.let { reconciler.stopBeforeRevocation(machine, it, now) }
         reconciliation.machineReconciled(machine, now)
-        machine.reported(machine.bookedShare(), machine.attempts.isEmpty() && machine.acceptsTasks)
+        val isIdle = machine.attempts.isEmpty() && machine.acceptsTasks && machine.resources.mayFit(minCores = 0.0)
+        machine.reported(machine.resources.bookedShare(), isIdle)
         if (machine.losesResponses) probe(machine, now) else scheduler.placeOn(machine, now)
         val commands = commandIssuer.issue(machine, forStatuses, now)
         state.decisions.responded(machine, commands)
         return commands
     }
 
-    private fun updateUnknownTasks(machine: Machine, heartbeat: Heartbeat) {
-        val hasUnknownTasks = heartbeat.tasks.any {
-            it.state != TaskState.EXITED && !machine.attempts.containsKey(it.attempt)
+    private fun updateUnbookedTasks(machine: Machine, heartbeat: Heartbeat) {
+        var hasUnknownTasks = false
+        var unbookedStatusBytes = 0
+        for (status in heartbeat.tasks) {
+            if (machine.attempts.containsKey(status.attempt)) continue
+            unbookedStatusBytes += HeartbeatSize.ofStatus(status.task)
+            if (status.state != TaskState.EXITED) hasUnknownTasks = true
         }
         val withUnknownTasks = state.unknownUsage.withUnknownTasks
         if (hasUnknownTasks) {
@@ -84,7 +98,7 @@
         } else {
             withUnknownTasks.remove(machine.id)
         }
-        machine.updateUnknownTasks(hasUnknownTasks)
+        machine.updateUnbookedTasks(hasUnknownTasks, unbookedStatusBytes)
     }
 
     /** Places a single task on a machine that seems to lose responses, to find out whether responses reach it. */
--- a/src/main/kotlin/io/otterknot/partition/Partition.kt
+++ b/src/main/kotlin/io/otterknot/partition/Partition.kt
@@ -107,7 +107,7 @@
 
     /** See [PartitionJobs.reserveForReassignment]. */
     fun reserveForReassignment(job: PartitionJob, cores: Double): BitSet =
-        partitionJobs.reserveForReassignment(job, cores)
+        partitionJobs.reserveForReassignment(job, cores, load.taskCores(job.spec))
 
     /** See [PartitionJobs.completeReassignment]. */
     fun completeReassignment(job: PartitionJob, tasks: BitSet) = partitionJobs.completeReassignment(job, tasks)
@@ -115,8 +115,9 @@
     /** How many tasks of the job run here according to heartbeats. */
     fun runningTasks(jobId: String): Int = partitionJobs.runningTasks(jobId)
 
-    /** Applies a worker's heartbeat and returns how to respond. */
-    fun applyHeartbeat(heartbeat: Heartbeat, now: Long): HeartbeatDecision = heartbeats.process(heartbeat, now)
+    /** Applies a worker's heartbeat, which took [heartbeatBytes] on the wire, and returns how to respond. */
+    fun applyHeartbeat(heartbeat: Heartbeat, now: Long, heartbeatBytes: Int = 0): HeartbeatDecision =
+        heartbeats.process(heartbeat, heartbeatBytes, now)
 
     /**
      * Expires leases, stops stragglers, completes the reconciliation if the leases of all unreconciled machines have
--- a/src/main/kotlin/io/otterknot/partition/PartitionJobs.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionJobs.kt
@@ -84,13 +84,11 @@
 
     /**
      * Reserves pending tasks of [job], the last ones first, for reassignment to another partition: at most as many as
-     * fit into [cores].
+     * fit into [cores] if each takes [taskCores].
      */
-    fun reserveForReassignment(job: PartitionJob, cores: Double): BitSet {
-        val taskCores = job.spec.cores
-        var remaining = job.pendingCount
-        if (taskCores > 0) remaining = minOf(cores / taskCores, remaining.toDouble()).toInt()
-        val reserved = job.pending.last(remaining)
+    fun reserveForReassignment(job: PartitionJob, cores: Double, taskCores: Double): BitSet {
+        val count = minOf(cores / taskCores, job.pendingCount.toDouble()).toInt()
+        val reserved = job.pending.last(count)
         job.pending.remove(reserved)
         job.beingReassigned.or(reserved)
         waitingWork.markChanged(job)
--- a/src/main/kotlin/io/otterknot/partition/PartitionLoad.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionLoad.kt
@@ -1,6 +1,8 @@
 package io.otterknot.partition
 
 import io.otterknot.scheduling.AttemptPhase
+import io.otterknot.scheduling.HeartbeatSpace
+import io.otterknot.scheduling.PartitionView
 import io.otterknot.scheduling.Resources
 import io.otterknot.wire.JobSpec
 
@@ -23,13 +25,15 @@
 
     /**
      * Cores of the active, pending and unreconciled tasks of jobs that satisfy [predicate], up to the quota shares of
-     * their teams.
+     * their teams. Heartbeat space counts like cores, here and in the means.
      */
     fun demand(predicate: (JobSpec) -> Boolean): Double {
+        val machineCores = meanMachineCores()
         val coresByTeam = HashMap<Int, Double>()
         for (job in jobs.all) {
             if (!predicate(job.spec)) continue
-            val cores = job.pendingCores + job.active.size * job.spec.cores
+            val taskCount = job.waitingCount + job.active.size
+            val cores = taskCount * HeartbeatSpace.equivalentCores(job.spec, machineCores)
             coresByTeam.merge(job.team, cores, Double::plus)
         }
         return teams.sumWithinQuotaShares { coresByTeam[it] ?: 0.0 }
@@ -40,8 +44,20 @@
      * too, like tasks in the queues of workers.
      */
     fun mean(): Double {
-        val usedCores = machines.all.sumOf { if (it.leaseExpired) 0.0 else it.usedCores }
-        return (usedCores + jobs.all.sumOf { it.pendingCores }) / maxOf(totalCores, 1.0)
+        val usedCores = machines.all.sumOf { if (it.leaseExpired) 0.0 else it.resources.equivalentCores }
+        val machineCores = meanMachineCores()
+        val waitingCores =
+            jobs.all.sumOf { it.waitingCount * HeartbeatSpace.equivalentCores(it.spec, machineCores) }
+        return (usedCores + waitingCores) / maxOf(totalCores, 1.0)
+    }
+
+    /** Returns the cores that one task of [spec] takes here, see [HeartbeatSpace.equivalentCores]. */
+    fun taskCores(spec: JobSpec): Double = HeartbeatSpace.equivalentCores(spec, meanMachineCores())
+
+    /** Returns the mean number of cores of the machines in service. */
+    private fun meanMachineCores(): Double {
+        val inService = machines.all.count { it.inService }
+        return if (inService > 0) totalCores / inService else PartitionView.MIN_CORES
     }
 
     /** The load of ordinary machines by tasks that may not run on spot instances, up to their teams' quota shares. */
--- a/src/main/kotlin/io/otterknot/partition/TeamQuotaLedger.kt
+++ b/src/main/kotlin/io/otterknot/partition/TeamQuotaLedger.kt
@@ -20,23 +20,30 @@
     private val usedGpus = DoubleArray(teams.size)
     private val usedMemoryGb = DoubleArray(teams.size)
 
+    /** As [usedCores], but a task counts with its equivalent cores, see [io.otterknot.scheduling.HeartbeatSpace]. */
+    private val usedEquivalentCores = DoubleArray(teams.size)
+
     val names: List<String> = teams.map { it.name }
 
     fun index(name: String): Int = indexByName.getInt(name)
 
-    /** Used cores divided by weight, for fair share: jobs of teams with lower values are placed first. */
-    fun pressure(team: Int): Double = if (team < 0) 0.0 else usedCores[team] / teams[team].weight
+    /** Used equivalent cores divided by weight, for fair share: jobs of teams with lower values are placed first. */
+    fun pressure(team: Int): Double = if (team < 0) 0.0 else usedEquivalentCores[team] / teams[team].weight
 
     /** The resources of a team's booked tasks in this partition. */
     fun usage(team: Int): Resources =
         if (team < 0) Resources.NONE else Resources(usedCores[team], usedMemoryGb[team], usedGpus[team])
 
-    fun book(team: Int, spec: JobSpec) = addUsage(team, spec, 1)
+    /** Books one task of [spec] that takes [equivalentCores] of its machine. */
+    fun book(team: Int, spec: JobSpec, equivalentCores: Double = spec.cores) =
+        addUsage(team, spec, equivalentCores, tasks = 1)
 
-    fun unbook(team: Int, spec: JobSpec) = addUsage(team, spec, -1)
+    fun unbook(team: Int, spec: JobSpec, equivalentCores: Double = spec.cores) =
+        addUsage(team, spec, equivalentCores, tasks = -1)
 
-    private fun addUsage(team: Int, spec: JobSpec, tasks: Int) {
+    private fun addUsage(team: Int, spec: JobSpec, equivalentCores: Double, tasks: Int) {
         if (team < 0) return
+        usedEquivalentCores[team] += equivalentCores * tasks
         usedCores[team] += spec.cores * tasks
         usedGpus[team] += spec.gpus * tasks
         usedMemoryGb[team] += spec.memoryGb * tasks
--- a/src/main/kotlin/io/otterknot/reassignment/LoadBeforeReassignment.kt
+++ b/src/main/kotlin/io/otterknot/reassignment/LoadBeforeReassignment.kt
@@ -7,12 +7,15 @@
  * The load of a partition between two reassignments. Each value is a sum over all machines and jobs, so it is computed
  * on first use and then cached.
  */
-internal class LoadBeforeReassignment(partition: Partition) {
+internal class LoadBeforeReassignment(private val partition: Partition) {
     private val mean by lazy(LazyThreadSafetyMode.NONE) { partition.load.mean() }
     private val ordinaryMean by lazy(LazyThreadSafetyMode.NONE) { partition.load.ordinaryMean() }
     private val cores by lazy(LazyThreadSafetyMode.NONE) { partition.load.totalCores }
     private val ordinaryCores by lazy(LazyThreadSafetyMode.NONE) { partition.load.ordinaryCores }
 
+    /** Returns the cores that one task of [spec] takes. */
+    fun taskCores(spec: JobSpec): Double = partition.load.taskCores(spec)
+
     /** Returns the mean load of the machines that tasks of [spec] may run on. */
     fun meanFor(spec: JobSpec): Double = if (spec.spot) mean else ordinaryMean
 
--- a/src/main/kotlin/io/otterknot/reassignment/TaskReassigner.kt
+++ b/src/main/kotlin/io/otterknot/reassignment/TaskReassigner.kt
@@ -89,8 +89,9 @@
         // Half of the gap, in cores of the smaller partition, equalizes the means; more would cause reassignments back.
         val targetCores = if (spec.spot) target.cores else target.ordinaryCores
         val balancingCores = gap / 2 * minOf(maxOf(load.coresFor(spec), 1.0), maxOf(targetCores, 1.0))
-        if (!spec.sameZone) return maxOf(balancingCores, spec.cores)
-        val isTooLarge = !mayMoveAfterLongWait && job.pendingCores > balancingCores * 2
+        val taskCores = load.taskCores(spec)
+        if (!spec.sameZone) return maxOf(balancingCores, taskCores)
+        val isTooLarge = !mayMoveAfterLongWait && job.waitingCount * taskCores > balancingCores * 2
         return if (isTooLarge) null else Double.MAX_VALUE
     }
 
--- a/src/main/kotlin/io/otterknot/rebalance/MachineCapacity.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/MachineCapacity.kt
@@ -1,14 +1,20 @@
 package io.otterknot.rebalance
 
 import io.otterknot.config.LoadSpreadSettings
-import io.otterknot.scheduling.Resources
+import io.otterknot.scheduling.MutableResources
 
 /** The [tasks] of one machine to stop so that one waiting task fits there; [cost] in weighted core-seconds. */
 internal class StopCandidate(val capacity: MachineCapacity, val tasks: List<RunningTask>, val cost: Double)
 
 /** The free capacity of one [machine] during planning; tasks with a planned stop count as stopped. */
 internal class MachineCapacity(val machine: MachineSnapshot, private val settings: LoadSpreadSettings) {
-    private var free = machine.free
+    private val free = MutableResources(
+        machine.free.cores,
+        machine.free.memoryGb,
+        machine.free.gpus,
+        machine.freeStatusBytes,
+        machine.freeSmallTaskBytes,
+    )
     private val stoppedAttempts = HashSet<Long>()
 
     /**
@@ -16,19 +22,18 @@
      * work. Returns null if the task does not fit even then, or fits without a stop.
      */
     fun stopCandidate(job: WaitingJob, limits: StopLimits, weights: CostWeights): StopCandidate? {
-        val needed = Resources.of(job.spec)
-        var available = free
+        val available = free.copy()
         val chosen = ArrayList<RunningTask>()
         val excessCores = HashMap<String, Double>()
         for (task in machine.tasks.sortedWith(LEAST_URGENT_FIRST).filter { isStoppable(it, job) }) {
-            if (available.covers(needed)) break
+            if (available.covers(job.spec)) break
             val excess = excessCores.getOrPut(task.team) { limits.remainingExcessCores(task.team) }
             if (excess < task.spec.cores) continue
             excessCores[task.team] = excess - task.spec.cores
-            available += Resources.of(task.spec)
+            available.add(task.spec)
             chosen.add(task)
         }
-        if (chosen.isEmpty() || !available.covers(needed)) return null
+        if (chosen.isEmpty() || !available.covers(job.spec)) return null
         return StopCandidate(this, chosen, cost(job, chosen, weights))
     }
 
@@ -48,10 +53,10 @@
     /** Counts the tasks [stopped] as stopped and one task of [job] as placed here. */
     fun replace(stopped: List<RunningTask>, job: WaitingJob) {
         for (task in stopped) {
-            free += Resources.of(task.spec)
+            free.add(task.spec)
             stoppedAttempts.add(task.attempt)
         }
-        free -= Resources.of(job.spec)
+        free.subtract(job.spec)
     }
 
     private companion object {
--- a/src/main/kotlin/io/otterknot/rebalance/MachineSnapshot.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/MachineSnapshot.kt
@@ -1,5 +1,6 @@
 package io.otterknot.rebalance
 
+import io.otterknot.scheduling.HeartbeatSpace
 import io.otterknot.scheduling.Resources
 import io.otterknot.wire.JobSpec
 
@@ -16,6 +17,10 @@
     val draining: Boolean = false,
     /** Ratio of task run times here to those on other machines. */
     val slowness: Double = 1.0,
+    /** Bytes for statuses that the machine's heartbeats have left, see [HeartbeatSpace]. */
+    val freeStatusBytes: Double = HeartbeatSpace.CAPACITY,
+    /** The part of [freeStatusBytes] that small tasks may use. */
+    val freeSmallTaskBytes: Double = HeartbeatSpace.CAPACITY,
 ) {
     fun allows(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type in spec.types)
 
--- a/src/main/kotlin/io/otterknot/rebalance/ReassignmentPlanner.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/ReassignmentPlanner.kt
@@ -84,7 +84,7 @@
             val balancingCores = balancingCores(job, target)
             val isTooLarge = reason != MoveReason.OVERDUE && job.waitingCores > balancingCores * 2
             if (spec.sameZone && isTooLarge) return Choice.Refuse(RefusalReason.GAIN_TOO_SMALL)
-            val partialCores = minOf(job.waitingCores, maxOf(balancingCores, spec.cores))
+            val partialCores = minOf(job.waitingCores, maxOf(balancingCores, job.taskCores))
             val cores = if (spec.sameZone) job.waitingCores else partialCores
             val move = Move.Reassignment(snapshot.zone, job.team, spec.id, reason, target.gainS, cores, target.zone)
             return Choice.Reassign(move)
--- a/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
@@ -63,6 +63,7 @@
         WaitingJob(
             spec = job.spec,
             waiting = job.pendingCount,
+            taskCores = partition.load.taskCores(job.spec),
             startable = startableTasks(partition, job, now),
             isWithinGuarantee = job.isWithinGuarantee,
             waitedS = (wallMs - job.readyMs) / 1000.0,
@@ -98,17 +99,19 @@
 
     private fun machine(machine: Machine, history: MoveHistory, now: Long): MachineSnapshot {
         examinedItems += 1 + machine.attempts.size
-        val used = Resources(machine.usedCores, machine.usedMemory, machine.usedGpus)
+        val free = machine.resources.free()
         return MachineSnapshot(
             id = machine.id,
             type = machine.type.name,
             spot = machine.spot,
-            free = Resources.of(machine.type) - used,
+            free = Resources(free.cores, free.memoryGb, free.gpus),
             fetchGbPerS = machine.type.fetchGbPerS,
             hasImage = { it in machine.images },
             tasks = machine.attempts.values.map { task(it, history, now) },
             draining = needsDrain(machine),
             slowness = maxOf(1.0, machine.slowness.ratio),
+            freeStatusBytes = free.statusBytes,
+            freeSmallTaskBytes = free.smallTaskBytes,
         )
     }
 
--- a/src/main/kotlin/io/otterknot/rebalance/WaitCauses.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/WaitCauses.kt
@@ -13,7 +13,7 @@
         fun add(team: String, cause: WaitCause, tasks: Int) {
             if (tasks > 0) counts.getOrPut(team) { HashMap() }.merge(cause, tasks, Int::plus)
         }
-        val machinesWithFreeCores = partition.machines.filter { it.inService && it.usedCores < it.type.cores }
+        val machinesWithFreeCores = partition.machines.filter { it.inService && it.resources.usedCores < it.type.cores }
         var examined = 0
         for (job in partition.jobs) {
             add(job.spec.team, WaitCause.UNRECONCILED, job.unreconciledTasks.cardinality())
@@ -52,7 +52,7 @@
         cluster: ClusterPressure,
     ): WaitCause {
         val spec = job.spec
-        val hasCapacity = machinesWithFreeCores.any { it.isAllowedFor(spec) && it.canFit(spec) }
+        val hasCapacity = machinesWithFreeCores.any { it.isAllowedFor(spec) && it.resources.canFit(spec) }
         if (hasCapacity) return WaitCause.CAPACITY_RESERVED
         val hasCapacityElsewhere = cluster.partitions.values.any {
             it.zone != partition.zone && it.meanFor(spec) < MAX_MEAN_WITH_CAPACITY
--- a/src/main/kotlin/io/otterknot/rebalance/WaitingJob.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/WaitingJob.kt
@@ -1,5 +1,6 @@
 package io.otterknot.rebalance
 
+import io.otterknot.scheduling.HeartbeatSpace
 import io.otterknot.wire.JobSpec
 
 /** The state of a job with waiting tasks, on which a plan is based. */
@@ -14,7 +15,9 @@
     val isEntirelyPending: Boolean,
     /** Seconds since tasks of the job were last reassigned to this partition, or null if never. */
     val secondsSinceArrival: Double? = null,
+    /** The cores that one task takes, see [HeartbeatSpace.equivalentCores]. */
+    val taskCores: Double = spec.cores,
 ) {
     val team: String get() = spec.team
-    val waitingCores: Double get() = waiting * spec.cores
+    val waitingCores: Double get() = waiting * taskCores
 }
--- a/src/main/kotlin/io/otterknot/scheduling/Attempt.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Attempt.kt
@@ -97,6 +97,6 @@
     fun requestStop() {
         if (stopping || !occupiesMachine) return
         stopping = true
-        machine.beingFreed.add(job.spec)
+        machine.resources.beingFreed.add(job.spec)
     }
 }
--- a/src/main/kotlin/io/otterknot/scheduling/JobCandidates.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/JobCandidates.kt
@@ -22,5 +22,5 @@
 
     /** Chooses a machine for a task of [spec] and adds the task to its load. Returns null if the task fits nowhere. */
     fun choose(random: Random, spec: JobSpec): Machine? =
-        groups.firstNotNullOfOrNull { group -> group.choose(random) { it.share(spec) } }
+        groups.firstNotNullOfOrNull { group -> group.choose(random) { it.resources.share(spec) } }
 }
--- a/src/main/kotlin/io/otterknot/scheduling/Machine.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Machine.kt
@@ -2,7 +2,6 @@
 
 import io.otterknot.wire.JobSpec
 import io.otterknot.wire.MachineType
-import io.otterknot.wire.Priority
 import it.unimi.dsi.fastutil.longs.Long2ObjectLinkedOpenHashMap
 
 /**
@@ -104,18 +103,7 @@
     /** The images that the machine has or is fetching, with their sizes in GB, the least recently used first. */
     val images = LinkedHashMap<String, Double>()
     val slowness = Slowness()
-    var usedCores = 0.0
-        private set
-    var usedMemory = 0.0
-        private set
-    var usedGpus = 0.0
-        private set
-
-    /** The resources that will be freed by attempts being stopped on this machine. */
-    val beingFreed = MutableResources()
-
-    /** The resources reserved on this machine for pending tasks, by priority. */
-    private val reservedFor = Array(Priority.entries.size) { MutableResources() }
+    val resources = MachineResources(type)
 
     /** The jobs of which a task failed or ran too long on this machine, with the time until which it is avoided. */
     private val avoidedUntilMs = HashMap<String, Long>()
@@ -172,8 +160,13 @@
         if (hasNotice) quarantine()
     }
 
-    fun updateUnknownTasks(showsUnknownTasks: Boolean) {
+    /**
+     * Records whether the last heartbeat shows tasks that are not booked and have not exited, and how many bytes the
+     * statuses of all attempts that are not booked took in it.
+     */
+    fun updateUnbookedTasks(showsUnknownTasks: Boolean, statusBytes: Int) {
         hasUnknownTasks = showsUnknownTasks
+        resources.updateUnbookedStatuses(statusBytes)
     }
 
     /** Excludes the machine from placement permanently. */
@@ -246,67 +239,9 @@
         }
     }
 
-    /** Books the resources of a task of [spec]. */
-    fun book(spec: JobSpec) {
-        usedCores += spec.cores
-        usedGpus += spec.gpus
-        usedMemory += spec.memoryGb
-    }
-
-    fun unbook(spec: JobSpec) {
-        usedCores -= spec.cores
-        usedGpus -= spec.gpus
-        usedMemory -= spec.memoryGb
-    }
-
-    /** The resources reserved on this machine for pending tasks of [priority]. */
-    fun reserved(priority: Priority): MutableResources = reservedFor[priority.ordinal]
-
     /** Whether [spec] allows this machine's type and, for a spot instance, the use of spot instances. */
     fun isAllowedFor(spec: JobSpec): Boolean = (spec.spot || !spot) && (spec.types == null || type.name in spec.types)
 
-    fun canFit(spec: JobSpec): Boolean = usedCores + spec.cores <= type.cores + EPSILON &&
-        usedMemory + spec.memoryGb <= type.memoryGb + EPSILON &&
-        usedGpus + spec.gpus <= type.gpus + EPSILON
-
-    /**
-     * Whether a task of [spec] fits now without taking capacity reserved for tasks of a higher priority. Resources that
-     * are being freed count towards those reservations.
-     */
-    fun canFitUnreserved(spec: JobSpec): Boolean {
-        if (!canFit(spec)) return false
-        var cores = usedCores - beingFreed.cores + spec.cores
-        var memory = usedMemory - beingFreed.memoryGb + spec.memoryGb
-        var gpus = usedGpus - beingFreed.gpus + spec.gpus
-        for (higher in 0 until spec.priority.ordinal) {
-            cores += reservedFor[higher].cores
-            memory += reservedFor[higher].memoryGb
-            gpus += reservedFor[higher].gpus
-        }
-        return cores <= type.cores + EPSILON && memory <= type.memoryGb + EPSILON && gpus <= type.gpus + EPSILON
-    }
-
-    /** Returns the resources that are free or being freed and not reserved for tasks of [priority] or a higher one. */
-    fun unreservedCapacity(priority: Priority): MutableResources {
-        val capacity = MutableResources(
-            type.cores - usedCores + beingFreed.cores,
-            type.memoryGb - usedMemory + beingFreed.memoryGb,
-            type.gpus - usedGpus + beingFreed.gpus,
-        )
-        for (level in 0..priority.ordinal) capacity.subtract(reservedFor[level])
-        return capacity
-    }
-
-    /** Returns the booked fraction of the most heavily booked resource. */
-    fun bookedShare(): Double =
-        maxOf(ratio(usedCores, type.cores), ratio(usedMemory, type.memoryGb), ratio(usedGpus, type.gpus))
-
-    /** Returns the dominant share of a task of [spec]: the largest fraction that it takes of any resource. */
-    fun share(spec: JobSpec): Double =
-        maxOf(ratio(spec.cores, type.cores), ratio(spec.memoryGb, type.memoryGb), ratio(spec.gpus, type.gpus))
-
-    private fun ratio(part: Double, total: Double) = if (total > 0) part / total else 0.0
-
     companion object {
         /** The tolerance for rounding errors in sums of cores, GB or GPUs. */
         const val EPSILON = 1e-6
--- a/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/PartitionJob.kt
@@ -61,8 +61,8 @@
 
     val pendingCount: Int get() = pending.count
 
-    /** The cores requested by the pending and the unreconciled tasks. */
-    val pendingCores: Double get() = (pendingCount + unreconciledTasks.cardinality()) * spec.cores
+    /** The number of the pending and the unreconciled tasks. */
+    val waitingCount: Int get() = pendingCount + unreconciledTasks.cardinality()
 
     /** Whether the job is in a terminal state. Its attempts that still occupy machines here are being stopped. */
     var finished = false
--- a/src/main/kotlin/io/otterknot/scheduling/PartitionView.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/PartitionView.kt
@@ -61,9 +61,9 @@
         it.idleMachines = idleMachines
     }
 
-    private companion object {
+    companion object {
         /** The cores of one small machine; a partition without machines counts as having this many. */
         const val MIN_CORES = 32.0
-        const val MIN_TASK_CORES = 0.1
+        private const val MIN_TASK_CORES = 0.1
     }
 }
--- a/src/main/kotlin/io/otterknot/scheduling/Preemptor.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Preemptor.kt
@@ -23,7 +23,7 @@
 
     /** Frees capacity for the pending [jobs] of one [priority], in order, and replaces its earlier reservations. */
     fun freeCapacity(priority: Priority, jobs: List<PartitionJob>, machines: List<Machine>, now: Long) {
-        for (machine in machines) machine.reserved(priority).clear()
+        for (machine in machines) machine.resources.reserved(priority).clear()
         val round = Round(machines, now)
         for (job in jobs) round.freeCapacityFor(job)
     }
@@ -60,10 +60,10 @@
             var left = taskCount
             for (machine in possible) {
                 if (left == 0) break
-                val capacity = machine.unreservedCapacity(spec.priority)
+                val capacity = machine.resources.unreservedCapacity(spec.priority)
                 while (left > 0 && capacity.covers(spec)) {
                     capacity.subtract(spec)
-                    machine.reserved(spec.priority).add(spec)
+                    machine.resources.reserved(spec.priority).add(spec)
                     left--
                 }
             }
@@ -82,7 +82,7 @@
             var left = taskCount
             while (left > 0) {
                 val best = options.poll() ?: break
-                best.machine.reserved(job.spec.priority).add(job.spec)
+                best.machine.resources.reserved(job.spec.priority).add(job.spec)
                 left--
                 if (!isPreemptionDelayed) best.victims.forEach(stop)
                 cheapestOption(best.machine, job)?.let(options::add)
@@ -95,7 +95,7 @@
             val spec = job.spec
             val lowerAttempts = preemptible.getOrPut(machine) { findPreemptible(machine, spec.priority) }
             if (lowerAttempts.isEmpty()) return null
-            val capacity = machine.unreservedCapacity(spec.priority)
+            val capacity = machine.resources.unreservedCapacity(spec.priority)
             val victims = ArrayList<Attempt>()
             for (attempt in lowerAttempts) {
                 if (!mayStop(attempt, job)) continue
--- a/src/main/kotlin/io/otterknot/scheduling/Resources.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Resources.kt
@@ -11,9 +11,6 @@
 
     operator fun times(factor: Double) = Resources(cores * factor, memoryGb * factor, gpus * factor)
 
-    fun covers(other: Resources): Boolean = other.cores <= cores + Machine.EPSILON &&
-        other.memoryGb <= memoryGb + Machine.EPSILON && other.gpus <= gpus + Machine.EPSILON
-
     /** Returns the largest fraction of the three resources of [total] that this takes; a total of zero is ignored. */
     fun dominantShare(total: Resources): Double =
         maxOf(share(cores, total.cores), share(memoryGb, total.memoryGb), share(gpus, total.gpus))
@@ -23,7 +20,7 @@
     companion object {
         val NONE = Resources()
 
-        /** Returns the resources that one task of [spec] requests. */
+        /** Returns the cores, memory and GPUs that one task of [spec] requests. */
         fun of(spec: JobSpec) = Resources(spec.cores, spec.memoryGb, spec.gpus)
 
         /** Returns the resources of a machine of [type]. */
--- a/src/main/kotlin/io/otterknot/scheduling/Scheduler.kt
+++ b/src/main/kotlin/io/otterknot/scheduling/Scheduler.kt
@@ -73,9 +73,8 @@
         PlacementPass(ledger.machines.filter { it.acceptsTasks }, null, now).run()
     }
 
-    /** Whether [machine] has enough free cores for the smallest pending task. */
-    private fun mayHaveCapacity(machine: Machine): Boolean =
-        machine.usedCores + queue.minPendingCores <= machine.type.cores + Machine.EPSILON
+    /** Whether [machine] may have capacity for the smallest pending task. */
+    private fun mayHaveCapacity(machine: Machine): Boolean = machine.resources.mayFit(queue.minPendingCores)
 
     private fun mayStart(job: PartitionJob, now: Long): Boolean =
         !job.pending.isEmpty && job.retryAtMs <= now && ledger.startableTasks(job) > 0
@@ -83,8 +82,11 @@
     private fun fits(job: PartitionJob, machine: Machine, now: Long): Boolean =
         machine.isAllowedFor(job.spec) && hasCapacity(job, machine) && !machine.avoids(job.id, now)
 
-    private fun hasCapacity(job: PartitionJob, machine: Machine): Boolean =
-        if (queue.ignoresReservations(job)) machine.canFit(job.spec) else machine.canFitUnreserved(job.spec)
+    private fun hasCapacity(job: PartitionJob, machine: Machine): Boolean = if (queue.ignoresReservations(job)) {
+        machine.resources.canFit(job.spec)
+    } else {
+        machine.resources.canFitUnreserved(job.spec)
+    }
 
     /**
      * One pass over the queue at time [now] that places tasks on [usable] machines. [only] is set if the pass considers
@@ -122,7 +124,7 @@
             for (job in queue.overdue) {
                 if (!job.neverStarted || !mayStart(job, now)) continue
                 val fitting = usableWithCapacity.filter {
-                    it.isAllowedFor(job.spec) && it.canFit(job.spec) && !it.avoids(job.id, now)
+                    it.isAllowedFor(job.spec) && it.resources.canFit(job.spec) && !it.avoids(job.id, now)
                 }
                 val candidates = JobCandidates(fitting, job.spec, hasOrdinaryWork) { true }
                 val machine = candidates.choose(random, job.spec) ?: continue
@@ -176,13 +178,13 @@
 
         private fun place(job: PartitionJob): Attempt? {
             val machine = (if (only == null) chooseMachine(job) else takeIfFits(job, only)) ?: return null
-            machine.reserved(job.spec.priority).subtractDownToZero(job.spec)
+            machine.resources.reserved(job.spec.priority).subtractDownToZero(job.spec)
             return ledger.book(job, machine, now)
         }
 
         private fun takeIfFits(job: PartitionJob, machine: Machine): Machine? {
             if (!fits(job, machine, now)) return null
-            machine.addLoad(machine.share(job.spec))
+            machine.addLoad(machine.resources.share(job.spec))
             return machine
         }
 
--- a/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
+++ b/src/test/kotlin/io/otterknot/partition/PartitionFixture.kt
@@ -54,9 +54,10 @@
         cores: Double = 2.0,
         priority: Priority = Priority.HIGH,
         team: String = "red",
+        memoryGb: Double = 1.0,
     ): Job {
         val id = "j-%06d".format(number)
-        val spec = JobSpec(id, "k", team, priority, tasks, cores, 0.0, 1.0, "i", 1.0, spot = true, estimateS = 5.0)
+        val spec = JobSpec(id, "k", team, priority, tasks, cores, 0.0, memoryGb, "i", 1.0, spot = true, estimateS = 5.0)
         return Job(id).also { it.applyRecord(JobRecord(spec, listOf(TaskSpan("a", 0, tasks)))) }
     }
 
