Soak: arrays of many small tasks, and the size of each report and response

Every 25th job of a soak has 3,000 tasks of 0.002 cores in one zone, more than its machines may report at a time. In every simulated cluster a report or response above 64 KiB is a violation. The checks look up a task instead of copying all tasks of each machine for each start.

--- a/src/test/kotlin/io/otterknot/soak/SafetyChecksTest.kt
+++ b/src/test/kotlin/io/otterknot/soak/SafetyChecksTest.kt
@@ -3,6 +3,7 @@
 import io.otterknot.http.HttpResponse
 import io.otterknot.http.HttpStatus
 import io.otterknot.testing.CANCEL_S
+import io.otterknot.testing.MESSAGE_LIMIT_BYTES
 import io.otterknot.testing.ObservedMachine
 import io.otterknot.testing.SafetyChecks
 import io.otterknot.testing.SimulatedTask
@@ -112,6 +113,7 @@
 
         @JvmStatic
         fun violations() = listOf(
+            Violation("too large", "a report above 64 KiB") { checks.onMessage("report", MESSAGE_LIMIT_BYTES + 1) },
             Violation("ran_twice", "a task starts on a second machine") {
                 accept(JOB)
                 start("m1", JOB)
--- a/src/test/kotlin/io/otterknot/soak/SoakRun.kt
+++ b/src/test/kotlin/io/otterknot/soak/SoakRun.kt
@@ -79,7 +79,8 @@
         cluster.users.requestBursts = true
         for (number in 1..MAX_JOBS) {
             val cancelAfterMs = if (jobRandom.nextInt(4) == 0) jobRandom.nextLong(MAX_CANCEL_DELAY_MS) else null
-            val job = drawJob(number)
+            val drawn = drawJob(number)
+            val job = if (number % SMALL_TASKS_INTERVAL == FIRST_SMALL_TASKS) withManySmallTasks(drawn) else drawn
             val body = if (number % NESTED_JOB_INTERVAL == 0) nestedSubmissionBody(job) else submissionBody(job)
             cluster.users.startUser(job, cancelAfterMs, body)
             delay(jobRandom.nextLong(2 * MEAN_JOB_INTERVAL_MS))
@@ -110,6 +111,19 @@
         )
     }
 
+    /** [job] with more small tasks than the machines of its only zone may report at a time. */
+    private fun withManySmallTasks(job: JobSpec): JobSpec = job.copy(
+        team = "blue",
+        tasks = SMALL_TASKS,
+        cores = SMALL_TASK_CORES,
+        memoryGb = SMALL_TASK_CORES,
+        spot = true,
+        estimateS = SMALL_TASK_RUN_S,
+        spreadAcrossZones = false,
+        sameZone = false,
+        zone = cluster.zones.first(),
+    )
+
     private suspend fun injectFaults(lane: Int, untilMs: Long) {
         val random = Random(options.seed * SEED_FACTOR + 2 + lane)
         delay(random.nextLong(MAX_FAULT_GAP_MS))
@@ -160,6 +174,13 @@
 
         /** Every job of this number has an unknown field that nests. */
         const val NESTED_JOB_INTERVAL = 5
+
+        /** Every job of this number, beginning with [FIRST_SMALL_TASKS], has [SMALL_TASKS] small tasks. */
+        const val SMALL_TASKS_INTERVAL = 25
+        const val FIRST_SMALL_TASKS = 10
+        const val SMALL_TASKS = 3_000
+        const val SMALL_TASK_CORES = 0.002
+        const val SMALL_TASK_RUN_S = 2.0
         const val WARM_UP_MS = 6_000L
         const val OBSERVATION_MS = 250L
         const val FAULT_LANES = 3
--- a/src/test/kotlin/io/otterknot/testing/ObservedMachine.kt
+++ b/src/test/kotlin/io/otterknot/testing/ObservedMachine.kt
@@ -13,6 +13,9 @@
     /** The tasks that run on this machine, by name: their image is fetched and they have not exited. */
     fun runningTasks(): Map<String, SimulatedTask>
 
+    /** Whether [task] is one of [runningTasks]. */
+    fun isRunning(task: String): Boolean = task in runningTasks()
+
     /** The names of the tasks that have not exited, also those that still fetch their image. */
     fun activeTasks(): Set<String>
 }
--- a/src/test/kotlin/io/otterknot/testing/SafetyChecks.kt
+++ b/src/test/kotlin/io/otterknot/testing/SafetyChecks.kt
@@ -171,8 +171,14 @@
         checkTiming(name, spec)
         checkPlacement(worker, name, spec)
         val limit = coreLimits.getValue(spec.team)
+        if (limit <= 0) return
         val used = usedCores(spec.team)
-        if (limit > 0 && used + spec.cores > limit + 1e-6) violations.add("quota: ${spec.team}: ${used + spec.cores}")
+        if (used + spec.cores > limit + 1e-6) violations.add("quota: ${spec.team}: ${used + spec.cores}")
+    }
+
+    /** Called for each message that has a limit on its size; a report above it is refused, and its machine is lost. */
+    fun onMessage(name: String, bytes: Int) {
+        if (bytes > MESSAGE_LIMIT_BYTES) violations.add("too large: $name: $bytes bytes")
     }
 
     private fun checkTiming(name: String, spec: JobSpec) {
@@ -191,10 +197,11 @@
     }
 
     private fun checkPlacement(worker: ObservedMachine, name: String, spec: JobSpec) {
-        val elsewhere = workers().filter { it !== worker && name in it.runningTasks() }
+        val elsewhere = workers().filter { it !== worker && it.isRunning(name) }
         if (elsewhere.isNotEmpty()) violations.add("ran_twice: $name on ${worker.id} and ${elsewhere.map { it.id }}")
         if (worker.spot && !spec.spot) violations.add("wrong_place: $name on spot machine ${worker.id}")
         if (spec.zone != null && spec.zone != worker.zone) violations.add("wrong_place: $name in ${worker.zone}")
+        if (!spec.sameZone && !spec.spreadAcrossZones) return
         val sameJob = workers().flatMap { other ->
             other.runningTasks().values.filter { it.job == spec.id }.map { other.zone }
         }
--- a/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
+++ b/src/test/kotlin/io/otterknot/testing/SimulatedWorker.kt
@@ -92,6 +92,13 @@
             .associate { (key, task) -> name(key) to SimulatedTask(task.job, task.attempt) }
     }
 
+    override fun isRunning(task: String): Boolean {
+        expire()
+        return tasks.any { (key, value) ->
+            value.state == TaskState.RUNNING && key.startsWith(task) && name(key) == task
+        }
+    }
+
     override fun activeTasks(): Set<String> {
         expire()
         return tasks.filterValues { !it.isTerminal }.keys.mapTo(HashSet(), ::name)
@@ -142,7 +149,10 @@
         }
         val report = Heartbeat(id, "x", "big", zone, spot, epoch, ++seq, token, null, statuses)
         val sent = nowMs()
-        val response = send(WireJson.encodeToString(Heartbeat.serializer(), report).encodeToByteArray())
+        val body = WireJson.encodeToString(Heartbeat.serializer(), report).encodeToByteArray()
+        checks.onMessage("report of $id with ${statuses.size} tasks", body.size)
+        val response = send(body)
+        if (response != null) checks.onMessage("response to $id", response.body.size)
         if (nowMs() < hungUntilMs) delay(hungUntilMs - nowMs())
         // An answer that arrives after the timeout is dropped, also if the machine hung meanwhile.
         if (response?.status == 200 && nowMs() - sent <= REPORT_TIMEOUT_MS) {
