Mean machine cores are computed once for each plan, not for each job

The cores that a small task corresponds to need the mean cores of a partition's machines, a sum over all of them. No behaviour changes.

--- a/src/main/kotlin/io/otterknot/controller/PeerRequestHandler.kt
+++ b/src/main/kotlin/io/otterknot/controller/PeerRequestHandler.kt
@@ -6,6 +6,7 @@
 import io.otterknot.partition.Partition
 import io.otterknot.peer.IdlePartitions
 import io.otterknot.peer.PeerMessage
+import io.otterknot.peer.PeerMessage.RelayResponse
 import io.otterknot.store.StoreHealth
 
 /** Answers the requests of other controllers. Owns no state; runs on the controller's event loop. */
@@ -48,13 +49,11 @@
      * peer has counted it in its own.
      */
     private suspend fun relayToStore(request: PeerMessage.RelayRequest): PeerMessage {
-        if (!storeHealth.isAnswering) return unanswered()
+        if (!storeHealth.isAnswering) return RelayResponse.UNANSWERED
         val reply = store.call(request.method, request.target, request.body, request.timeoutMs.toLong())
         return when (reply) {
-            is Reply.Answer -> PeerMessage.RelayResponse.of(reply.status, reply.body)
-            is Reply.None -> if (reply.isTooLarge) PeerMessage.RelayResponse.TOO_LARGE else unanswered()
+            is Reply.Answer -> RelayResponse.of(reply.status, reply.body)
+            is Reply.None -> if (reply.isTooLarge) RelayResponse.TOO_LARGE else RelayResponse.UNANSWERED
         }
     }
-
-    private fun unanswered() = PeerMessage.RelayResponse.UNANSWERED
 }
--- a/src/main/kotlin/io/otterknot/partition/Partition.kt
+++ b/src/main/kotlin/io/otterknot/partition/Partition.kt
@@ -2,6 +2,7 @@
 
 import io.otterknot.jobs.Job
 import io.otterknot.scheduling.Attempt
+import io.otterknot.scheduling.HeartbeatSpace.equivalentCores
 import io.otterknot.scheduling.ImageCounts
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
@@ -107,7 +108,7 @@
 
     /** See [PartitionJobs.reserveForReassignment]. */
     fun reserveForReassignment(job: PartitionJob, cores: Double): BitSet =
-        partitionJobs.reserveForReassignment(job, cores, load.taskCores(job.spec))
+        partitionJobs.reserveForReassignment(job, cores, equivalentCores(job.spec, load.meanMachineCores()))
 
     /** See [PartitionJobs.completeReassignment]. */
     fun completeReassignment(job: PartitionJob, tasks: BitSet) = partitionJobs.completeReassignment(job, tasks)
--- a/src/main/kotlin/io/otterknot/partition/PartitionLoad.kt
+++ b/src/main/kotlin/io/otterknot/partition/PartitionLoad.kt
@@ -51,11 +51,8 @@
         return (usedCores + waitingCores) / maxOf(totalCores, 1.0)
     }
 
-    /** Returns the cores that one task of [spec] takes here, see [HeartbeatSpace.equivalentCores]. */
-    fun taskCores(spec: JobSpec): Double = HeartbeatSpace.equivalentCores(spec, meanMachineCores())
-
-    /** Returns the mean number of cores of the machines in service. */
-    private fun meanMachineCores(): Double {
+    /** Returns the mean number of cores of the machines in service, for [HeartbeatSpace.equivalentCores]. */
+    fun meanMachineCores(): Double {
         val inService = machines.all.count { it.inService }
         return if (inService > 0) totalCores / inService else PartitionView.MIN_CORES
     }
--- a/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
+++ b/src/main/kotlin/io/otterknot/rebalance/SnapshotBuilder.kt
@@ -4,6 +4,7 @@
 import io.otterknot.partition.Partition
 import io.otterknot.scheduling.Attempt
 import io.otterknot.scheduling.AttemptPhase
+import io.otterknot.scheduling.HeartbeatSpace
 import io.otterknot.scheduling.Machine
 import io.otterknot.scheduling.PartitionJob
 import io.otterknot.scheduling.Resources
@@ -35,7 +36,8 @@
         val byUrgency = partition.pendingJobsInOrder(now)
         examinedItems += byUrgency.size
         history.recordArrivals(byUrgency, now, wallMs)
-        val waiting = examined(byUrgency).map { waiting(partition, it, history, now, wallMs) }
+        val machineCores = partition.load.meanMachineCores()
+        val waiting = examined(byUrgency).map { waiting(partition, it, machineCores, history, now, wallMs) }
         val needsStops = settings.guarantees && waiting.any { it.isWithinGuarantee && it.startable > 0 }
         val machines = machines(partition, needsStops).map { machine(it, history, now) }
         val running = if (machines.isEmpty()) emptyList() else running(partition)
@@ -59,17 +61,23 @@
         return withinGuarantee + others
     }
 
-    private fun waiting(partition: Partition, job: PartitionJob, history: MoveHistory, now: Long, wallMs: Long) =
-        WaitingJob(
-            spec = job.spec,
-            waiting = job.pendingCount,
-            taskCores = partition.load.taskCores(job.spec),
-            startable = startableTasks(partition, job, now),
-            isWithinGuarantee = job.isWithinGuarantee,
-            waitedS = (wallMs - job.readyMs) / 1000.0,
-            isEntirelyPending = job.allTasksPending,
-            secondsSinceArrival = history.secondsSinceArrival(job.id, now),
-        )
+    private fun waiting(
+        partition: Partition,
+        job: PartitionJob,
+        machineCores: Double,
+        history: MoveHistory,
+        now: Long,
+        wallMs: Long,
+    ) = WaitingJob(
+        spec = job.spec,
+        waiting = job.pendingCount,
+        taskCores = HeartbeatSpace.equivalentCores(job.spec, machineCores),
+        startable = startableTasks(partition, job, now),
+        isWithinGuarantee = job.isWithinGuarantee,
+        waitedS = (wallMs - job.readyMs) / 1000.0,
+        isEntirelyPending = job.allTasksPending,
+        secondsSinceArrival = history.secondsSinceArrival(job.id, now),
+    )
 
     private fun startableTasks(partition: Partition, job: PartitionJob, now: Long): Int {
         val isBackingOff = job.retryAtMs > now
